--- /dev/null
+++ b/src/test/java/mapleroute/BadInputTest.java
@@ -0,0 +1,89 @@
+package mapleroute;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import mapleroute.Contract.Effect;
+import mapleroute.Contract.Finished;
+import mapleroute.Contract.Group;
+import mapleroute.Contract.Limits;
+import mapleroute.Contract.Load;
+import mapleroute.Contract.Outcome;
+import mapleroute.Contract.Request;
+import mapleroute.Contract.RequestClass;
+import mapleroute.Contract.Rules;
+import mapleroute.Contract.Server;
+import mapleroute.Contract.State;
+import mapleroute.Contract.Tenant;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.function.Executable;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A host that breaks the contract is told which field and value, before anything is done. */
+class BadInputTest {
+
+    private static void refused(String field, Object value, Executable call) {
+        String message = assertThrows(IllegalArgumentException.class, call).getMessage();
+        assertTrue(message.contains(field) && message.contains(String.valueOf(value)), message);
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {-1, Double.NaN, Double.POSITIVE_INFINITY})
+    void numbersThatCannotBeAreNamed(double bad) {
+        refused("classes[].aim", bad, () ->
+            new RequestClass("c", bad, 1000, 1, 0, Effect.ONCE, Group.ALL, 0, false));
+        refused("classes[].deadline", bad, () ->
+            new RequestClass("c", 100, bad, 1, 0, Effect.ONCE, Group.ALL, 0, false));
+        refused("classes[].worth", bad, () ->
+            new RequestClass("c", 100, 1000, bad, 0, Effect.ONCE, Group.ALL, 0, false));
+        refused("limits.connectTimeout", bad, () -> new Limits(3, true, true, true, 2000, bad));
+        refused("limits.maxCoolDown", bad, () -> new Limits(3, true, true, true, bad, 200));
+        refused("rules.coldShare", bad, () -> new Rules(bad, 8000, 3, 1000, 1000, 10_000));
+        refused("rules.coldMs", bad, () -> new Rules(0.3, bad, 3, 1000, 1000, 10_000));
+        refused("rules.askWithin", bad, () -> new Rules(0.3, 8000, 3, 1000, 1000, bad));
+        refused("tenants[].allowance", bad, () -> new Tenant("t", bad, 1));
+        refused("server.weight", bad, () -> new Server("s", 0, 0, 0, 0, State.READY, bad));
+        refused("finished.took", bad, () -> new Finished("r", 0, "s", Outcome.OK, bad, true, Load.NONE));
+    }
+
+    @Test
+    void whatIsMissingIsNamed() {
+        refused("request.id", null, () -> new Request(null, 0, 0, 1000, false));
+        refused("request.deadline", Double.NaN, () -> new Request("r", 0, 0, Double.NaN, false));
+        refused("finished.outcome", null, () -> new Finished("r", 0, "s", null, 5, true, Load.NONE));
+        refused("finished.attempt", -1, () -> new Finished("r", -1, "s", Outcome.OK, 5, true, Load.NONE));
+        refused("server.id", null, () -> new Server(null, 0, 0, 0, 0, State.READY, 1));
+        refused("server.state", null, () -> new Server("s", 0, 0, 0, 0, null, 1));
+    }
+
+    @Test
+    void aBadRequestChangesNothing() {
+        Fixture f = Fixture.of(10, 0, 0).list(Fixture.servers(3));
+        String first = f.request(Fixture.REPEATABLE);
+        f.now += 60_000;
+        List<String> before = List.copyOf(f.host.all);
+        refused("class", 9, () -> f.balancer.onRequest(f.now, new Request("x", 9, 0, f.now + 100, false)));
+        refused("tenant", 5, () -> f.balancer.onRequest(f.now, new Request("x", 0, 5, f.now + 100, false)));
+        refused(first, "in hand", () ->
+            f.balancer.onRequest(f.now, new Request(first, 0, 0, f.now + 100, false)));
+        assertEquals(before, f.host.all);
+        assertEquals(1, f.balancer.openCalls());
+    }
+
+    @Test
+    void extremeButLegalFleetsGetLegalAnswers() {
+        for (List<Server> list : List.of(List.<Server>of(),
+                List.of(Fixture.server("d", 0, 0, State.DRAINING)))) {
+            Fixture f = Fixture.of(1, 0, 0).list(list);
+            String refused = f.request(Fixture.ONCE);
+            assertEquals(List.of(refused), f.host.refused);
+            assertTrue(f.host.sent.isEmpty());
+        }
+        Fixture many = Fixture.of(5000, 4999, 0).list(Fixture.servers(1));
+        many.request(Fixture.ONCE);
+        assertEquals("s0", many.host.last().server());
+    }
+}
--- /dev/null
+++ b/src/test/java/mapleroute/Fixture.java
@@ -0,0 +1,101 @@
+package mapleroute;
+
+import java.util.ArrayList;
+import java.util.List;
+import mapleroute.Contract.Effect;
+import mapleroute.Contract.Finished;
+import mapleroute.Contract.Group;
+import mapleroute.Contract.Limits;
+import mapleroute.Contract.ListKind;
+import mapleroute.Contract.Load;
+import mapleroute.Contract.Outcome;
+import mapleroute.Contract.Request;
+import mapleroute.Contract.RequestClass;
+import mapleroute.Contract.Rules;
+import mapleroute.Contract.Server;
+import mapleroute.Contract.Settings;
+import mapleroute.Contract.State;
+import mapleroute.Contract.Tenant;
+
+/** A balancer with a recording host and a clock set by hand. */
+final class Fixture {
+
+    static final int REPEATABLE = 0;
+    static final int ONCE = 1;
+    static final int BY_CELL = 2;
+
+    final Recorder host = new Recorder();
+    final Decide balancer;
+    double now = 1_000_000;
+    private int requests;
+
+    Fixture(Settings settings) {
+        balancer = new Decide(settings, 7, host);
+    }
+
+    static Settings settings(int balancers, int own, int tier, boolean parallel, Tenant... tenants) {
+        List<RequestClass> classes = List.of(
+            new RequestClass("read", 1000, 3000, 1, 0, Effect.REPEATABLE, Group.ALL, 0, false),
+            new RequestClass("order", 1000, 3000, 1, 0.5, Effect.ONCE, Group.ALL, 0, false),
+            new RequestClass("save", 1000, 3000, 1, 0.5, Effect.BY_KEY, Group.CELL, 800, false));
+        return new Settings(balancers, own, 0, tier, false, true, 0.1, 0, classes, List.of(tenants),
+            new Limits(3, parallel, true, true, 2000, 200),
+            new Rules(0.3, 8000, 3, 1000, 1000, 10_000));
+    }
+
+    static Fixture of(int balancers, int own, int tier) {
+        return new Fixture(settings(balancers, own, tier, true));
+    }
+
+    static Server server(String id) {
+        return new Server(id, 0, 0, 0, 0, State.READY, 1);
+    }
+
+    static Server server(String id, int cell, double startedMs, State state) {
+        return new Server(id, 0, 0, cell, startedMs, state, 1);
+    }
+
+    static List<Server> servers(int count) {
+        List<Server> list = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            list.add(server("s" + i));
+        }
+        return list;
+    }
+
+    Fixture list(List<Server> servers) {
+        balancer.onServers(now, ListKind.FULL, servers);
+        return this;
+    }
+
+    void change(Server... servers) {
+        balancer.onServers(now, ListKind.DELTA, List.of(servers));
+    }
+
+    String request(int kind) {
+        return request(kind, 0);
+    }
+
+    String request(int kind, int tenant) {
+        String id = "r" + requests++;
+        balancer.onRequest(now, new Request(id, kind, tenant, now + 3000, false));
+        return id;
+    }
+
+    void finish(Recorder.Sent sent, Outcome outcome, double tookMs) {
+        balancer.onFinished(now, new Finished(sent.request(), sent.attempt(), sent.server(), outcome,
+            tookMs, outcome == Outcome.OK, Load.NONE));
+    }
+
+    /** The ranks that the design gives to a server's first slot, worked out apart from the module. */
+    static long hash(String id) {
+        int h = 0x811c9dc5;
+        for (char c : id.toCharArray()) {
+            h = (h ^ c) * 0x01000193;
+        }
+        h ^= h >>> 16;
+        h *= 0x7feb352d;
+        h ^= h >>> 15;
+        return h & 0xffffffffL;
+    }
+}
--- /dev/null
+++ b/src/test/java/mapleroute/RandomEventsTest.java
@@ -0,0 +1,247 @@
+package mapleroute;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import mapleroute.Contract.Actions;
+import mapleroute.Contract.Effect;
+import mapleroute.Contract.Finished;
+import mapleroute.Contract.ListKind;
+import mapleroute.Contract.Load;
+import mapleroute.Contract.Outcome;
+import mapleroute.Contract.Request;
+import mapleroute.Contract.RequestClass;
+import mapleroute.Contract.Server;
+import mapleroute.Contract.Settings;
+import mapleroute.Contract.State;
+import mapleroute.Contract.Tenant;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Random events, and a host that checks the rules from outside, without the module's own state. */
+class RandomEventsTest {
+
+    /** A request as the host sees it. */
+    private static final class Seen {
+        final int kind;
+        final double deadlineMs;
+        final List<String> servers = new ArrayList<>();
+        final List<Double> sentAt = new ArrayList<>();
+        final List<Outcome> ends = new ArrayList<>();
+        boolean over;
+
+        Seen(int kind, double deadlineMs) {
+            this.kind = kind;
+            this.deadlineMs = deadlineMs;
+        }
+
+        /** The first attempt that is out or may have run; -1 if there is none. */
+        int mayHaveRun() {
+            for (int i = 0; i < ends.size(); i++) {
+                if (ends.get(i) == null || !ends.get(i).neverRan()) {
+                    return i;
+                }
+            }
+            return -1;
+        }
+
+        int out() {
+            return (int) ends.stream().filter(e -> e == null).count();
+        }
+    }
+
+    /** Checks every action as it comes. */
+    private static final class Judge implements Actions {
+        final Settings settings;
+        final Map<String, Seen> seen = new HashMap<>();
+        final Map<String, Server> listed = new HashMap<>();
+        final List<Double> timers = new ArrayList<>();
+        final List<Long> timerNames = new ArrayList<>();
+        double now;
+        int out;
+
+        Judge(Settings settings) {
+            this.settings = settings;
+        }
+
+        @Override
+        public void send(String request, String server, double timeoutMs) {
+            Seen call = seen.get(request);
+            RequestClass kind = settings.classes().get(call.kind);
+            assertFalse(call.over, "sent after its end: " + request);
+            assertEquals(State.READY, listed.get(server).state(), "sent to a server that is not ready");
+            assertTrue(timeoutMs <= call.deadlineMs - now + 1e-6, "outlasts the client");
+            assertTrue(call.ends.size() < settings.limits().tries(), "too many attempts");
+            assertTrue(settings.limits().parallelTries() || call.out() == 0, "two attempts at once");
+            int first = call.mayHaveRun();
+            if (first >= 0) {
+                assertTrue(kind.effect() != Effect.ONCE, "a call that may have run was sent again");
+                if (kind.effect() == Effect.BY_KEY) {
+                    assertEquals(listed.get(call.servers.get(first)).cell(), listed.get(server).cell(),
+                        "repeat outside the group");
+                    assertTrue(now - call.sentAt.get(first) < kind.windowMs(), "repeat after the window");
+                }
+            }
+            call.servers.add(server);
+            call.sentAt.add(now);
+            call.ends.add(null);
+            out++;
+            assertTrue(out <= 256, "more calls out than the pool may hold");
+        }
+
+        @Override
+        public void refuse(String request, double coolDownMs) {
+            Seen call = seen.get(request);
+            assertTrue(settings.classes().get(call.kind).effect() == Effect.REPEATABLE
+                || call.mayHaveRun() < 0, "refused though it may have run");
+            finish(call);
+        }
+
+        @Override
+        public void fail(String request) {
+            finish(seen.get(request));
+        }
+
+        private void finish(Seen call) {
+            assertFalse(call.over, "two final answers");
+            assertTrue(now <= call.deadlineMs, "answered too late");
+            call.over = true;
+        }
+
+        @Override
+        public void cancel(String request, int attempt) {
+            assertTrue(attempt < seen.get(request).ends.size(), "cancelled an attempt never made");
+        }
+
+        @Override
+        public void timer(double inMs, long name) {
+            timers.add(now + inMs);
+            timerNames.add(name);
+        }
+
+        @Override
+        public void disconnect(String server) {
+            assertTrue(listed.containsKey(server));
+        }
+
+        @Override
+        public void subscribe() {
+        }
+
+        @Override
+        public void log(String line) {
+        }
+    }
+
+    private static Settings settings(Random random) {
+        return Fixture.settings(1 + random.nextInt(40), 0, random.nextInt(2), random.nextBoolean(),
+            new Tenant("a", 20, 0.5), new Tenant("b", 5, 0.5));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void theRulesHoldUnderRandomEvents(int seed) {
+        Random random = new Random(seed);
+        Settings settings = settings(random);
+        Judge judge = new Judge(settings);
+        judge.now = 10_000;
+        Decide balancer = new Decide(settings, seed, judge);
+        List<String> open = new ArrayList<>();
+        int requests = 0;
+        for (int step = 0; step < 4000; step++) {
+            judge.now += random.nextInt(12);
+            fireTimers(judge, balancer);
+            endOverdue(judge, balancer, open, random);
+            int what = random.nextInt(20);
+            if (what == 0 || step == 0) {
+                changeList(judge, balancer, random, step == 0);
+            } else if (what < 9 && step < 3500) {
+                String id = "q" + requests++;
+                int kind = random.nextInt(settings.classes().size());
+                double left = 1 + random.nextInt(3000);
+                judge.seen.put(id, new Seen(kind, judge.now + left));
+                open.add(id);
+                balancer.onRequest(judge.now, new Request(id, kind,
+                    settings.tenants().isEmpty() ? 0 : random.nextInt(2), judge.now + left, false));
+            } else if (what < 10 && !open.isEmpty()) {
+                String id = open.get(random.nextInt(open.size()));
+                judge.seen.get(id).over = true;
+                balancer.onClientGone(judge.now, id);
+            } else if (!open.isEmpty()) {
+                String id = open.get(random.nextInt(open.size()));
+                end(judge, balancer, id, random, Outcome.values()[random.nextInt(8)]);
+            }
+            open.removeIf(id -> judge.seen.get(id).over && judge.seen.get(id).out() == 0);
+        }
+        for (int i = 0; i < 400; i++) {
+            judge.now += 50;
+            fireTimers(judge, balancer);
+            endOverdue(judge, balancer, open, random);
+            open.removeIf(id -> judge.seen.get(id).over && judge.seen.get(id).out() == 0);
+        }
+        assertTrue(judge.seen.values().stream().allMatch(c -> c.over), "a request was lost");
+        assertTrue(open.isEmpty());
+        assertEquals(0, judge.out);
+        assertEquals(0, balancer.openCalls(), "state is left over");
+    }
+
+    private static void fireTimers(Judge judge, Decide balancer) {
+        for (int i = 0; i < judge.timers.size(); i++) {
+            if (judge.timers.get(i) <= judge.now) {
+                judge.timers.remove(i);
+                balancer.onTimer(judge.now, judge.timerNames.remove(i));
+                i = -1;
+            }
+        }
+    }
+
+    /** The host cuts attempts off at the client's deadline, within the slack that the judge allows. */
+    private static void endOverdue(Judge judge, Decide balancer, List<String> open, Random random) {
+        for (String id : List.copyOf(open)) {
+            Seen call = judge.seen.get(id);
+            if (call.deadlineMs <= judge.now + 15) {
+                double now = judge.now;
+                judge.now = Math.min(now, call.deadlineMs);
+                while (call.out() > 0) {
+                    end(judge, balancer, id, random, Outcome.TIMED_OUT);
+                }
+                judge.now = now;
+            }
+        }
+    }
+
+    private static void end(Judge judge, Decide balancer, String id, Random random, Outcome outcome) {
+        Seen call = judge.seen.get(id);
+        int attempt = call.ends.indexOf(null);
+        if (attempt < 0) {
+            return;
+        }
+        call.ends.set(attempt, outcome);
+        judge.out--;
+        boolean served = outcome == Outcome.OK && !call.over;
+        boolean concluded = call.over || served;
+        call.over |= served;
+        balancer.onFinished(judge.now, new Finished(id, attempt, call.servers.get(attempt), outcome,
+            judge.now - call.sentAt.get(attempt), concluded, Load.NONE));
+    }
+
+    private static void changeList(Judge judge, Decide balancer, Random random, boolean whole) {
+        List<Server> changes = new ArrayList<>();
+        for (int i = 0; i < (whole ? 12 : 2); i++) {
+            String id = "s" + (whole ? i : random.nextInt(15));
+            State state = whole ? State.READY : State.values()[random.nextInt(3)];
+            double started = random.nextInt(4) == 0 ? judge.now - random.nextInt(9000) : 0;
+            int number = Integer.parseInt(id.substring(1));
+            Server server = new Server(id, number % 2, 0, number % 4, started, state, 1);
+            changes.add(server);
+            judge.listed.put(id, server);
+        }
+        balancer.onServers(judge.now, whole ? ListKind.CACHED : ListKind.DELTA, changes);
+    }
+}
--- /dev/null
+++ b/src/test/java/mapleroute/Recorder.java
@@ -0,0 +1,78 @@
+package mapleroute;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import mapleroute.Contract.Actions;
+
+/** A host that carries nothing out and remembers what it was told. */
+final class Recorder implements Actions {
+
+    /** One attempt that was sent. */
+    record Sent(String request, int attempt, String server, double timeoutMs) {
+    }
+
+    final List<Sent> sent = new ArrayList<>();
+    final List<String> refused = new ArrayList<>();
+    final List<String> failed = new ArrayList<>();
+    final List<String> cancelled = new ArrayList<>();
+    final List<String> disconnected = new ArrayList<>();
+    final List<String> log = new ArrayList<>();
+    final List<String> all = new ArrayList<>();
+    final List<Double> timers = new ArrayList<>();
+    int subscriptions;
+    private final Map<String, Integer> attempts = new HashMap<>();
+
+    Sent last() {
+        return sent.get(sent.size() - 1);
+    }
+
+    @Override
+    public void send(String request, String server, double timeoutMs) {
+        int attempt = attempts.merge(request, 1, Integer::sum) - 1;
+        sent.add(new Sent(request, attempt, server, timeoutMs));
+        all.add("send " + request + " " + server + " " + timeoutMs);
+    }
+
+    @Override
+    public void refuse(String request, double coolDownMs) {
+        refused.add(request);
+        all.add("refuse " + request);
+    }
+
+    @Override
+    public void fail(String request) {
+        failed.add(request);
+        all.add("fail " + request);
+    }
+
+    @Override
+    public void cancel(String request, int attempt) {
+        cancelled.add(request + "#" + attempt);
+        all.add("cancel " + request + " " + attempt);
+    }
+
+    @Override
+    public void timer(double inMs, long name) {
+        timers.add(inMs);
+        all.add("timer " + name);
+    }
+
+    @Override
+    public void disconnect(String server) {
+        disconnected.add(server);
+        all.add("disconnect " + server);
+    }
+
+    @Override
+    public void subscribe() {
+        subscriptions++;
+        all.add("subscribe");
+    }
+
+    @Override
+    public void log(String line) {
+        log.add(line);
+    }
+}
