--- /dev/null
+++ b/src/main/java/mapleroute/Main.java
@@ -0,0 +1,74 @@
+package mapleroute;
+
+import java.io.FileDescriptor;
+import java.io.FileInputStream;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import mapleroute.benchlink.BenchLink;
+import mapleroute.benchlink.WireException;
+import mapleroute.sidecar.Sidecar;
+import mapleroute.sidecar.SidecarConfig;
+
+/** The command line: {@code serve} is one real sidecar, {@code benchlink} the simulator's adapter. */
+public final class Main {
+
+    private Main() {
+    }
+
+    /** Runs the program until it is done; a failure is one plain line and a status above 0. */
+    public static void main(String[] args) throws IOException {
+        int status;
+        if (args.length == 1 && args[0].equals("serve")) {
+            status = serve(System.getenv("GW_CONFIG"), System.err);
+        } else {
+            try (FileInputStream in = new FileInputStream(FileDescriptor.in);
+                    FileOutputStream out = new FileOutputStream(FileDescriptor.out)) {
+                status = run(args, in, out, System.err);
+            }
+        }
+        if (status != 0) {
+            System.exit(status);
+        }
+    }
+
+    /** The adapter on streams of the caller's; returns the exit status. */
+    public static int run(String[] args, InputStream in, OutputStream out, PrintStream errors)
+            throws IOException {
+        if (args.length != 1 || !args[0].equals("benchlink")) {
+            errors.println("usage: java -jar mapleroute.jar serve|benchlink");
+            return 2;
+        }
+        try {
+            new BenchLink(in, out, errors).run();
+            return 0;
+        } catch (WireException e) {
+            errors.println("mapleroute: " + e.getMessage());
+            return 1;
+        }
+    }
+
+    /** Starts a sidecar that runs until SIGTERM; returns the exit status of a start that failed. */
+    static int serve(String configFile, PrintStream errors) {
+        try {
+            if (configFile == null || configFile.isBlank()) {
+                throw new IllegalArgumentException("GW_CONFIG must name the configuration file but is "
+                    + configFile);
+            }
+            Sidecar sidecar = Sidecar.start(SidecarConfig.read(Path.of(configFile)), errors);
+            // Halting from the hook, once empty, makes a stop by SIGTERM a clean exit.
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                sidecar.drain();
+                Runtime.getRuntime().halt(0);
+            }, "drain"));
+            return 0;
+        } catch (IOException | RuntimeException e) {
+            errors.println("mapleroute: " + (e.getMessage() == null ? e.toString()
+                : e.getMessage().lines().findFirst().orElse("")));
+            return 1;
+        }
+    }
+}
--- a/src/main/java/mapleroute/benchlink/SettingsReader.java
+++ b/src/main/java/mapleroute/SettingsReader.java
@@ -1,4 +1,4 @@
-package mapleroute.benchlink;
+package mapleroute;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -16,13 +16,13 @@
 import mapleroute.Contract.Tenant;
 
 /** Turns the wire's settings object into {@link Settings}; what it does not know it passes over. */
-final class SettingsReader {
+public final class SettingsReader {
 
     private SettingsReader() {
     }
 
     /** Reads any JSON value: objects as maps, arrays as lists. */
-    static Object value(JsonParser in) throws IOException {
+    public static Object value(JsonParser in) throws IOException {
         JsonToken token = in.currentToken();
         if (token == JsonToken.START_OBJECT) {
             Map<String, Object> map = new LinkedHashMap<>();
@@ -47,7 +47,8 @@
                 : token.isBoolean() ? (Object) in.getBooleanValue() : in.getText();
     }
 
-    static Settings settings(Map<String, Object> p) {
+    /** The settings that the decisions need, from the object as {@link #value} reads it. */
+    public static Settings settings(Map<String, Object> p) {
         List<RequestClass> classes = new ArrayList<>();
         for (Map<String, Object> c : maps(p, "classes")) {
             classes.add(new RequestClass(text(c, "name", ""), number(c, "slo-ms", 0),
--- a/src/main/java/mapleroute/benchlink/BenchLink.java
+++ b/src/main/java/mapleroute/benchlink/BenchLink.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Set;
 import mapleroute.Decide;
+import mapleroute.SettingsReader;
 import mapleroute.Contract.Actions;
 import mapleroute.Contract.Finished;
 import mapleroute.Contract.ListKind;
--- /dev/null
+++ b/src/main/java/mapleroute/sidecar/DiscoveryClient.java
@@ -0,0 +1,175 @@
+package mapleroute.sidecar;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Watches the list of endpoints, call after call, until a call fails. In which way to go on then is for
+ * whoever listens: it calls {@link #watch} again.
+ */
+final class DiscoveryClient {
+
+    /** How long discovery is asked to wait for news. */
+    private static final int WAIT_MS = 20_000;
+    /** Silence for so long after that wait is a failure. */
+    private static final int SILENCE_MS = 2_000;
+    private static final int MOST_BODY = 4 * 1024 * 1024;
+
+    /** What comes of the watch. */
+    interface Listener {
+        void listed(ServerList list);
+
+        void failed();
+    }
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final ServerList.Names names;
+    private final Complaints complaints;
+    private final Bootstrap bootstrap;
+    private Listener listener;
+    private long version;
+    private Channel channel;
+    /** Set while a call is out. */
+    private Future<?> silence;
+
+    DiscoveryClient(EventLoop loop, InetSocketAddress address, ServerList.Names names, Complaints complaints) {
+        this.loop = loop;
+        this.address = address;
+        this.names = names;
+        this.complaints = complaints;
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, SILENCE_MS)
+            .handler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel fresh) {
+                    fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY),
+                        new Calls());
+                }
+            });
+    }
+
+    /** Who hears of lists, and which version is known already. */
+    void listen(Listener hearer, long known) {
+        listener = hearer;
+        version = known;
+    }
+
+    /** Starts a watch; one that is on goes on, and its next answer serves for both. */
+    void watch() {
+        if (silence != null) {
+            return;
+        }
+        silence = loop.schedule(() -> fail("no answer in time"), WAIT_MS + SILENCE_MS, TimeUnit.MILLISECONDS);
+        if (channel != null && channel.isActive()) {
+            ask();
+            return;
+        }
+        ChannelFuture connecting = bootstrap.connect(address);
+        channel = connecting.channel();
+        connecting.addListener(connected -> {
+            if (connecting.channel() != channel) {
+                return;
+            }
+            if (connected.isSuccess()) {
+                ask();
+            } else {
+                fail(connected.cause());
+            }
+        });
+    }
+
+    private void ask() {
+        FullHttpRequest call = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+            "/registry/instances?index=" + version + "&wait=" + WAIT_MS, Unpooled.EMPTY_BUFFER);
+        call.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+        channel.writeAndFlush(call);
+    }
+
+    private void fail(Object why) {
+        if (channel != null) {
+            Channel broken = channel;
+            channel = null;
+            broken.close();
+        }
+        if (silence == null) {
+            return;
+        }
+        silence.cancel(false);
+        silence = null;
+        complaints.log("discovery failed", why);
+        listener.failed();
+    }
+
+    private final class Calls extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+            if (ctx.channel() != channel || silence == null) {
+                ctx.close();
+                return;
+            }
+            if (answer.status().code() != 200 || answer.decoderResult().isFailure()) {
+                fail("status " + answer.status().code());
+                return;
+            }
+            ServerList list;
+            try {
+                list = ServerList.parse(ByteBufUtil.getBytes(answer.content()), names);
+            } catch (IOException | IllegalArgumentException e) {
+                fail(e.getMessage());
+                return;
+            }
+            silence.cancel(false);
+            silence = null;
+            version = list.version();
+            if (!HttpUtil.isKeepAlive(answer)) {
+                channel = null;
+                ctx.close();
+            }
+            // The next call goes out first: it must come soon after the answer for the watch to go on.
+            watch();
+            listener.listed(list);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (ctx.channel() == channel) {
+                fail("the connection ended");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (ctx.channel() == channel) {
+                fail(cause);
+            }
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -0,0 +1,78 @@
+package mapleroute.sidecar;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/** One real sidecar: its parts on one event loop, which is the only thread that touches any of them. */
+public final class Sidecar {
+
+    /** One small arena: messages are of a few hundred bytes, and memory is tight. */
+    static final ByteBufAllocator BUFFERS = new PooledByteBufAllocator(true, 1, 1, 8192, 4, 0, 0, false);
+    /** Descriptors for all that is no connection: files, selectors, the listener, discovery. */
+    private static final int SPARE_SOCKETS = 128;
+    /** New connections still come for a while after SIGTERM: until then the listener stays open. */
+    private static final int LINGER_MS = 600;
+    private static final int EMPTY_POLL_MS = 10;
+
+    private final MultiThreadIoEventLoopGroup group;
+    private final EventLoop loop;
+    private Frontend frontend;
+    private Exchange exchange;
+
+    private Sidecar() {
+        group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("sidecar"),
+            NioIoHandler.newFactory());
+        loop = (EventLoop) group.next();
+    }
+
+    /** Starts to listen; what goes wrong is an exception whose message says so plainly. */
+    public static Sidecar start(SidecarConfig config, PrintStream log) throws IOException {
+        Sidecar sidecar = new Sidecar();
+        try {
+            sidecar.loop.submit(() -> sidecar.build(config, log)).sync();
+            var bound = sidecar.frontend.listen(config.listen()).await();
+            if (!bound.isSuccess()) {
+                throw new IOException("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
+            }
+            return sidecar;
+        } catch (InterruptedException e) {
+            throw new IOException("interrupted while starting", e);
+        }
+    }
+
+    private void build(SidecarConfig config, PrintStream log) {
+        Clock clock = new Clock();
+        Complaints complaints = new Complaints(clock, log);
+        int half = Math.max(8, (config.sockets() - SPARE_SOCKETS) / 2);
+        EndpointPool endpoints = new EndpointPool(loop, clock, complaints,
+            config.settings().limits().connectTimeoutMs(), config.idleCloseMs(), half);
+        DiscoveryClient discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints);
+        exchange = new Exchange(loop, clock, complaints, endpoints, discovery, config);
+        frontend = new Frontend(loop, clock, complaints, exchange, config.settings(), half);
+    }
+
+    /** Answers all that is in hand and still comes in, then returns; the sidecar has nothing left to do. */
+    public void drain() {
+        CountDownLatch empty = new CountDownLatch(1);
+        loop.execute(frontend::drain);
+        loop.schedule(frontend::close, LINGER_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(() -> {
+            if (frontend.isEmpty() && exchange.openRequests() == 0) {
+                empty.countDown();
+            }
+        }, LINGER_MS, EMPTY_POLL_MS, TimeUnit.MILLISECONDS);
+        try {
+            empty.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mapleroute/sidecar/SidecarConfig.java
@@ -0,0 +1,89 @@
+package mapleroute.sidecar;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import mapleroute.Contract.Settings;
+import mapleroute.SettingsReader;
+
+/**
+ * What a sidecar is told at its start, read from the file that GW_CONFIG names.
+ *
+ * @param sockets the descriptors that the process may hold
+ * @param idleCloseMs after how long at most an endpoint closes an idle connection
+ */
+public record SidecarConfig(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        double idleCloseMs, ServerList.Names names, ServerList known, Settings settings) {
+
+    /** Reads the file; anything missing or bad is an exception whose message names field and value. */
+    public static SidecarConfig read(Path file) throws IOException {
+        try (JsonParser in = new JsonFactory().createParser(Files.readAllBytes(file))) {
+            in.nextToken();
+            if (!(in.currentToken() != null && SettingsReader.value(in) instanceof Map<?, ?> config)) {
+                throw new IllegalArgumentException(file + " holds no JSON object");
+            }
+            return of(config);
+        } catch (NoSuchFileException e) {
+            throw new IllegalArgumentException("GW_CONFIG names a file that is not there: " + file, e);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException(file + " is not JSON: " + e.getOriginalMessage(), e);
+        }
+    }
+
+    private static SidecarConfig of(Map<?, ?> config) {
+        Map<String, Object> settings = object("settings", config.get("settings"));
+        Map<String, Object> limits = object("settings.limits", settings.get("limits"));
+        object("settings.rules", settings.get("rules"));
+        positive("settings.limits.dial-timeout-ms", limits.get("dial-timeout-ms"));
+        positive("settings.limits.try-limit", limits.get("try-limit"));
+        ServerList.Names names = new ServerList.Names(words("settings.azs", settings.get("azs")),
+            words("settings.models", settings.get("models")));
+        return new SidecarConfig(ServerList.address("listen", config.get("listen")),
+            ServerList.address("discovery", config.get("discovery")), seed(config.get("seed")),
+            (int) positive("limits.sockets", object("limits", config.get("limits")).get("sockets")),
+            positive("settings.limits.idle-close-ms", limits.get("idle-close-ms")), names,
+            ServerList.of(object("known", config.get("known")), names), SettingsReader.settings(settings));
+    }
+
+    private static long seed(Object value) {
+        try {
+            return Long.parseUnsignedLong(value instanceof String text ? text : "", 16);
+        } catch (NumberFormatException e) {
+            throw ServerList.bad("seed", value);
+        }
+    }
+
+    private static double positive(String field, Object value) {
+        if (value instanceof Double number && number > 0) {
+            return number;
+        }
+        throw ServerList.bad(field, value);
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Object> object(String field, Object value) {
+        if (value instanceof Map<?, ?> map) {
+            return (Map<String, Object>) map;
+        }
+        throw ServerList.bad(field, value);
+    }
+
+    private static List<String> words(String field, Object value) {
+        if (!(value instanceof List<?> list)) {
+            throw ServerList.bad(field, value);
+        }
+        List<String> words = new ArrayList<>();
+        for (Object word : list) {
+            words.add(String.valueOf(word));
+        }
+        return words;
+    }
+}
--- a/src/test/java/mapleroute/benchlink/BenchLinkTest.java
+++ b/src/test/java/mapleroute/benchlink/BenchLinkTest.java
@@ -9,6 +9,7 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import mapleroute.Main;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
