--- a/src/main/java/mapleroute/sidecar/DiscoveryClient.java
+++ b/src/main/java/mapleroute/sidecar/DiscoveryClient.java
@@ -56,7 +56,8 @@
     /** Set while a call is out. */
     private Future<?> silence;
 
-    DiscoveryClient(EventLoop loop, InetSocketAddress address, ServerList.Names names, Complaints complaints) {
+    DiscoveryClient(EventLoop loop, InetSocketAddress address, ServerList.Names names,
+            Complaints complaints) {
         this.loop = loop;
         this.address = address;
         this.names = names;
--- a/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/src/main/java/mapleroute/sidecar/EndpointPool.java
@@ -24,6 +24,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -63,7 +64,7 @@
             this.ending = ending;
         }
 
-        /** Stops waiting, and tells the endpoint by closing the connection; true if the request may have run. */
+        /** Stops waiting and closes the connection, which tells the endpoint; true if it may have run. */
         boolean giveUp() {
             ending = null;
             connection.close();
@@ -114,10 +115,10 @@
         loop.scheduleWithFixedDelay(this::closeStale, sweep, sweep, TimeUnit.MILLISECONDS);
     }
 
-    /** Takes in where endpoints listen; connections to a process or an address that is no more are dropped. */
+    /** Takes in where endpoints listen; connections to a process or address that is no more are dropped. */
     void update(ServerList list) {
         if (list.full()) {
-            Set<String> named = new java.util.HashSet<>();
+            Set<String> named = new HashSet<>();
             list.entries().forEach(entry -> named.add(entry.server().id()));
             for (String id : List.copyOf(endpoints.keySet())) {
                 if (!named.contains(id)) {
@@ -132,7 +133,8 @@
                 continue;
             }
             Endpoint endpoint = endpoints.computeIfAbsent(id, k -> new Endpoint());
-            if (!entry.address().equals(endpoint.address) || entry.server().startedMs() != endpoint.startedMs) {
+            if (!entry.address().equals(endpoint.address)
+                    || entry.server().startedMs() != endpoint.startedMs) {
                 retire(endpoint);
             }
             endpoint.address = entry.address();
@@ -161,7 +163,7 @@
         }
     }
 
-    /** Sends a request once, on an idle connection or a new one. The ending may be told before this returns. */
+    /** Sends a request once, on an idle connection or a new one. It may end before this returns. */
     Attempt send(String id, FullHttpRequest request, Ending ending) {
         Attempt attempt = new Attempt(request, ending);
         Endpoint endpoint = endpoints.get(id);
--- a/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/src/main/java/mapleroute/sidecar/Exchange.java
@@ -32,7 +32,7 @@
  */
 final class Exchange implements Actions, DiscoveryClient.Listener {
 
-    /** So long after its deadline a request that nothing has concluded fails: the client's clock ran first. */
+    /** So long after its deadline a request that nothing has concluded fails. */
     private static final double OVERDUE_MS = 5;
     /** Where lists are pushed, the agent is asked again after this pause when a call has failed. */
     private static final int AGENT_PAUSE_MS = 100;
--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/src/main/java/mapleroute/sidecar/Frontend.java
@@ -182,7 +182,8 @@
             HttpHeaders headers = request.headers();
             String id = headers.get(ID);
             Integer kind = classes.get(headers.get("X-Class", ""));
-            Integer tenant = tenants.isEmpty() ? Integer.valueOf(0) : tenants.get(headers.get("X-Tenant", ""));
+            Integer tenant = tenants.isEmpty() ? Integer.valueOf(0)
+                : tenants.get(headers.get("X-Tenant", ""));
             long deadline = deadline(headers.get(DEADLINE, ""));
             if (!request.method().equals(HttpMethod.GET) && !request.method().equals(HttpMethod.POST)) {
                 reply.plain(HttpResponseStatus.METHOD_NOT_ALLOWED, "only GET and POST are served", true);
@@ -193,7 +194,7 @@
             } else if (tenant == null) {
                 reply.plain(HttpResponseStatus.BAD_REQUEST, "X-Tenant is missing or unknown", true);
             } else if (deadline < 0) {
-                reply.plain(HttpResponseStatus.BAD_REQUEST, DEADLINE + " is missing or no whole number", true);
+                reply.plain(HttpResponseStatus.BAD_REQUEST, DEADLINE + " is no whole number", true);
             } else if (exchange.has(id)) {
                 reply.plain(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand", true);
             } else if (connections.size() > most) {
--- a/src/main/java/mapleroute/sidecar/ServerList.java
+++ b/src/main/java/mapleroute/sidecar/ServerList.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -93,12 +94,13 @@
     static InetSocketAddress address(String field, Object value) {
         if (value instanceof String text) {
             int colon = text.lastIndexOf(':');
-            byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+            byte[] ip = colon < 0 ? null
+                : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
             if (ip != null) {
                 try {
                     int port = Integer.parseInt(text.substring(colon + 1));
                     return new InetSocketAddress(InetAddress.getByAddress(ip), port);
-                } catch (java.net.UnknownHostException | IllegalArgumentException e) {
+                } catch (UnknownHostException | IllegalArgumentException e) {
                     throw bad(field, value);
                 }
             }
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -8,6 +8,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -25,6 +26,7 @@
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private Frontend frontend;
+    private InetSocketAddress address;
     private Exchange exchange;
 
     private Sidecar() {
@@ -37,11 +39,14 @@
     public static Sidecar start(SidecarConfig config, PrintStream log) throws IOException {
         Sidecar sidecar = new Sidecar();
         try {
-            sidecar.loop.submit(() -> sidecar.build(config, log)).sync();
+            sidecar.loop.submit(() -> sidecar.build(config, log)).syncUninterruptibly();
             var bound = sidecar.frontend.listen(config.listen()).await();
             if (!bound.isSuccess()) {
-                throw new IOException("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
+                sidecar.stop();
+                throw new IOException("cannot listen on " + config.listen() + ": "
+                    + bound.cause().getMessage());
             }
+            sidecar.address = (InetSocketAddress) bound.channel().localAddress();
             return sidecar;
         } catch (InterruptedException e) {
             throw new IOException("interrupted while starting", e);
@@ -74,5 +79,16 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        stop();
+    }
+
+    /** Where clients connect. */
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Ends everything at once. */
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 }
--- /dev/null
+++ b/src/test/java/mapleroute/sidecar/Fake.java
@@ -0,0 +1,84 @@
+package mapleroute.sidecar;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A server on loopback that does with each request what the test says. */
+final class Fake implements Closeable {
+
+    /** What to do with a request. */
+    interface Script {
+        void on(Wire wire, Wire.Message request) throws Exception;
+    }
+
+    final ServerSocket listener;
+    final List<Wire.Message> requests = new CopyOnWriteArrayList<>();
+    final AtomicInteger connections = new AtomicInteger();
+    final AtomicInteger open = new AtomicInteger();
+    volatile Script script;
+
+    Fake(Script script) throws IOException {
+        this.script = script;
+        listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        start(this::accept);
+    }
+
+    static Fake answering(int status, String headers, String body) throws IOException {
+        return new Fake((wire, request) -> answer(wire, status, headers, body));
+    }
+
+    static void answer(Wire wire, int status, String headers, String body) throws IOException {
+        wire.send("HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n"
+            + body);
+    }
+
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                connections.incrementAndGet();
+                open.incrementAndGet();
+                start(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // The test is over.
+            return;
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (Wire wire = new Wire(socket)) {
+            while (true) {
+                Wire.Message request = wire.read();
+                requests.add(request);
+                script.on(wire, request);
+            }
+        } catch (Exception e) {
+            // The connection is over, which the counter below tells.
+            return;
+        } finally {
+            open.decrementAndGet();
+        }
+    }
+
+    private static void start(Runnable task) {
+        Thread thread = new Thread(task, "fake");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/mapleroute/sidecar/Rig.java
@@ -0,0 +1,122 @@
+package mapleroute.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+/** A sidecar before fake endpoints, with a fake discovery; all on loopback. */
+final class Rig implements Closeable {
+
+    private static final long PATIENCE_MS = 20_000;
+
+    final List<Fake> endpoints = new ArrayList<>();
+    final Fake discovery;
+    final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    Sidecar sidecar;
+    int idleCloseMs = 15_000;
+    int askWithinMs = 600_000;
+    int sockets = 1024;
+    private int requests;
+
+    Rig(Fake... endpoints) throws IOException {
+        this.endpoints.addAll(List.of(endpoints));
+        // Discovery holds its answer back until the test has one.
+        discovery = new Fake((wire, request) -> wire.awaitEnd());
+    }
+
+    static String line(int number, String address, String state, long startedMs) {
+        return "{\"id\":\"s" + number + "\",\"addr\":\"" + address
+            + "\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":0,"
+            + "\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":" + startedMs + "}";
+    }
+
+    static String list(int version, boolean full, String... lines) {
+        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":["
+            + String.join(",", lines) + "]}";
+    }
+
+    String config() {
+        List<String> lines = new ArrayList<>();
+        for (int i = 0; i < endpoints.size(); i++) {
+            lines.add(line(i, endpoints.get(i).address(), "in_service", 0));
+        }
+        return """
+            {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+            "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,
+            "settings":{"azs":["a"],"models":["m"],"replicas-of-me":1,"slot-no":0,"tier":0,"zone":0,
+            "membership-mode":"on_request","classes":[
+            {"name":"read","effect":"repeatable","group":"all","hard-limit-ms":9000,"slo-ms":9000,"worth":1},
+            {"name":"order","effect":"once","group":"all","hard-limit-ms":9000,"slo-ms":9000,"worth":1}],
+            "limits":{"cancel":true,"dial-timeout-ms":2000,"idle-close-ms":%d,"max-retry-after-ms":2000,
+            "parallel-tries":true,"retry-after":true,"try-limit":3},
+            "rules":{"cold-share":0.5,"cold-ms":1000,"tip-multiple":3,"fall-ms":1000,"drain-grace-ms":500,
+            "ask-within-ms":%d}}}""".formatted(discovery.address(), sockets, list(1, true,
+                lines.toArray(String[]::new)), idleCloseMs, askWithinMs);
+    }
+
+    Rig start() throws IOException {
+        Path file = Files.createTempFile("config", ".json");
+        try {
+            Files.writeString(file, config());
+            sidecar = Sidecar.start(SidecarConfig.read(file),
+                new PrintStream(log, true, StandardCharsets.UTF_8));
+        } finally {
+            Files.delete(file);
+        }
+        return this;
+    }
+
+    Wire client() throws IOException {
+        return Wire.to(sidecar.address());
+    }
+
+    /** A request of a class, GET for one that may be repeated and else POST with a body. */
+    String request(String kind, int deadlineMs) {
+        String head = "X-Request-Id: r" + requests++ + "\r\nX-Class: " + kind + "\r\nX-Deadline-Ms: "
+            + deadlineMs + "\r\nHost: app.svc\r\n";
+        return kind.equals("read") ? "GET /api?q=1 HTTP/1.1\r\n" + head + "\r\n"
+            : "POST /api?q=1 HTTP/1.1\r\n" + head + "Idempotency-Key: k1\r\nContent-Length: 5\r\n\r\nhello";
+    }
+
+    Wire.Message ask(String kind, int deadlineMs) throws IOException {
+        try (Wire wire = client()) {
+            return wire.send(request(kind, deadlineMs)).read();
+        }
+    }
+
+    int attempts() {
+        return endpoints.stream().mapToInt(endpoint -> endpoint.requests.size()).sum();
+    }
+
+    String logged() {
+        return log.toString(StandardCharsets.UTF_8);
+    }
+
+    static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long until = System.nanoTime() + PATIENCE_MS * 1_000_000;
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < until, what);
+            Thread.sleep(2);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        if (sidecar != null) {
+            sidecar.stop();
+        }
+        for (Fake endpoint : endpoints) {
+            endpoint.close();
+        }
+        discovery.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/mapleroute/sidecar/SidecarConfigTest.java
@@ -0,0 +1,65 @@
+package mapleroute.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The configuration: what is right is read, what is not is named. */
+class SidecarConfigTest {
+
+    @TempDir
+    Path folder;
+
+    private SidecarConfig read(String part, String instead) throws IOException {
+        try (Fake endpoint = Fake.answering(200, "", ""); Rig rig = new Rig(endpoint)) {
+            assertTrue(rig.config().contains(part), part);
+            return SidecarConfig.read(Files.writeString(folder.resolve("config.json"),
+                rig.config().replace(part, instead)));
+        }
+    }
+
+    @Test
+    void whatItHoldsIsRead() throws IOException {
+        SidecarConfig config = read("", "");
+        assertEquals(0x8c1f30d27a5be964L, config.seed());
+        assertEquals(1024, config.sockets());
+        assertEquals(15_000, config.idleCloseMs());
+        assertEquals(1, config.known().version());
+        assertEquals("s0", config.known().entries().get(0).server().id());
+        assertEquals(2, config.settings().classes().size());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "\"listen\":\"127.0.0.1:0\",||listen is missing",
+        "127.0.0.1:0|localhost:0|listen is not usable: localhost:0",
+        "127.0.0.1:0|127.0.0.1:70000|listen is not usable: 127.0.0.1:70000",
+        "8c1f30d27a5be964|zz|seed is not usable: zz",
+        "\"sockets\":1024|\"sockets\":-1|limits.sockets is not usable: -1",
+        "in_service|asleep|servers[].state is not usable: asleep",
+        "\"idle-close-ms\":15000|\"idle-close-ms\":0|settings.limits.idle-close-ms is not usable: 0",
+        "\"dial-timeout-ms\":2000,||settings.limits.dial-timeout-ms is missing",
+        "\"effect\":\"once\"|\"effect\":\"twice\"|effect is unknown: twice",
+        "\"azs\":[\"a\"]|\"azs\":5|settings.azs is not usable: 5"})
+    void whatIsMissingOrBadIsNamed(String part, String instead, String complaint) {
+        IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
+            () -> read(part, instead == null ? "" : instead));
+        assertTrue(e.getMessage().contains(complaint), e.getMessage());
+    }
+
+    @Test
+    void aFileThatIsNoJsonIsNamed() throws IOException {
+        Path file = Files.writeString(folder.resolve("config.json"), "{\"name\":");
+        IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
+            () -> SidecarConfig.read(file));
+        assertTrue(e.getMessage().contains(file + " is not JSON"), e.getMessage());
+    }
+}
--- /dev/null
+++ b/src/test/java/mapleroute/sidecar/SidecarTest.java
@@ -0,0 +1,422 @@
+package mapleroute.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The whole sidecar on loopback sockets. */
+@Timeout(60)
+class SidecarTest {
+
+    private static final int DEADLINE_MS = 8000;
+
+    private Rig rig;
+
+    private Rig start(Fake... endpoints) throws IOException {
+        rig = new Rig(endpoints);
+        return rig.start();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        rig.close();
+    }
+
+    private static Fake good() throws IOException {
+        return Fake.answering(200, "Content-Type: text/x\r\n", "served");
+    }
+
+    // ---- a request and its answer ----
+
+    @Test
+    void aRequestAndItsAnswerGoThroughUnchanged() throws Exception {
+        start(good());
+        Wire.Message answer = rig.ask("order", DEADLINE_MS);
+        assertEquals(200, answer.status());
+        assertEquals("served", answer.body());
+        assertEquals("text/x", answer.headers().get("content-type"));
+        Wire.Message seen = rig.endpoints.get(0).requests.get(0);
+        assertEquals("POST /api?q=1 HTTP/1.1", seen.line());
+        assertEquals("hello", seen.body());
+        assertEquals("r0", seen.headers().get("x-request-id"));
+        assertEquals("k1", seen.headers().get("idempotency-key"));
+        int deadline = Integer.parseInt(seen.headers().get("x-deadline-ms"));
+        assertTrue(deadline > 0 && deadline <= DEADLINE_MS, "what the sidecar waits: " + deadline);
+    }
+
+    @Test
+    void connectionsAreKeptOnBothSides() throws Exception {
+        start(good());
+        try (Wire client = rig.client()) {
+            for (int i = 0; i < 5; i++) {
+                assertEquals(200, client.send(rig.request("read", DEADLINE_MS)).read().status());
+            }
+        }
+        assertEquals(1, rig.endpoints.get(0).connections.get());
+    }
+
+    /** Guards against answers that overtake: a client that sends ahead takes them by their order. */
+    @Test
+    void answersKeepTheOrderOfTheRequests() throws Exception {
+        CountDownLatch second = new CountDownLatch(1);
+        start(new Fake((wire, request) -> {
+            if (request.headers().get("x-request-id").equals("r0")) {
+                second.await();
+            } else {
+                second.countDown();
+            }
+            Fake.answer(wire, 200, "", request.headers().get("x-request-id"));
+        }));
+        try (Wire client = rig.client()) {
+            client.send(rig.request("read", DEADLINE_MS) + rig.request("read", DEADLINE_MS));
+            assertEquals("r0", client.read().body());
+            assertEquals("r1", client.read().body());
+        }
+    }
+
+    // ---- what may have run, and what never did ----
+
+    /** Guards against effects that happen twice: an unsafe request that may have run is not sent again. */
+    @ParameterizedTest
+    @ValueSource(strings = {"reset", "half", "unframed", "garbage", "503", "504", "500", "201"})
+    void anUnsafeRequestThatMayHaveRunFailsAtOnce(String how) throws Exception {
+        Fake.Script script = (wire, request) -> {
+            switch (how) {
+                case "reset" -> wire.reset();
+                case "half" -> {
+                    wire.send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
+                    wire.close();
+                }
+                case "unframed" -> {
+                    wire.send("HTTP/1.1 200 OK\r\n\r\nwho knows whether this is all");
+                    wire.close();
+                }
+                case "garbage" -> wire.send("what?\r\n\r\n");
+                default -> Fake.answer(wire, Integer.parseInt(how), "", "mine");
+            }
+        };
+        start(new Fake(script), new Fake(script));
+        Wire.Message answer = rig.ask("order", DEADLINE_MS);
+        assertEquals(502, answer.status());
+        assertFalse(answer.body().contains("mine"), "an endpoint's refusal or error is not passed on");
+        assertEquals(1, rig.attempts());
+    }
+
+    /** Guards against giving up too early: what surely never ran may be tried elsewhere, unsafe or not. */
+    @ParameterizedTest
+    @CsvSource({"order,503", "order,504", "order,refused", "read,500", "read,reset"})
+    void whatIsKnownToBeHarmlessIsTriedElsewhere(String kind, String how) throws Exception {
+        Fake bad = new Fake((wire, request) -> {
+            if (how.equals("reset")) {
+                wire.reset();
+            } else {
+                Fake.answer(wire, Integer.parseInt(how), "X-Not-Run: 1\r\n", "");
+            }
+        });
+        Fake other = new Fake(bad.script);
+        start(bad, other);
+        Fake.Script good = (wire, request) -> Fake.answer(wire, 200, "", "served");
+        // Whichever is asked first fails, and the other one serves.
+        if (how.equals("refused")) {
+            bad.close();
+            other.script = good;
+        } else {
+            Fake.Script first = bad.script;
+            Fake.Script once = (wire, request) -> {
+                bad.script = good;
+                other.script = good;
+                first.on(wire, request);
+            };
+            bad.script = once;
+            other.script = once;
+        }
+        for (int i = 0; i < 3; i++) {
+            assertEquals(200, rig.ask(kind, DEADLINE_MS).status());
+        }
+    }
+
+    /** Guards against a hang that holds everything: the attempt is given up and its connection closed. */
+    @Test
+    void anAttemptThatIsGivenUpClosesItsConnection() throws Exception {
+        Fake hung = new Fake((wire, request) -> wire.awaitEnd());
+        start(hung);
+        Wire.Message answer = rig.ask("order", 300);
+        assertEquals(502, answer.status(), "it may have run");
+        Rig.await("the connection is closed", () -> hung.open.get() == 0);
+        assertEquals(1, rig.attempts());
+    }
+
+    @Test
+    void aClientThatGoesAwayTakesItsAttemptsAlong() throws Exception {
+        Fake hung = new Fake((wire, request) -> wire.awaitEnd());
+        start(hung);
+        try (Wire client = rig.client()) {
+            client.send(rig.request("order", DEADLINE_MS));
+            Rig.await("the attempt is out", () -> hung.requests.size() == 1);
+        }
+        Rig.await("the attempt is called off", () -> hung.open.get() == 0);
+    }
+
+    /** Guards against clients that come straight back: a refusal is given at once and says when. */
+    @Test
+    void aRefusalComesAtOnceAndTellsWhenToComeBack() throws Exception {
+        start();
+        long began = System.nanoTime();
+        Wire.Message answer = rig.ask("order", DEADLINE_MS);
+        assertEquals(503, answer.status());
+        assertEquals(0.5, Double.parseDouble(answer.headers().get("retry-after")));
+        assertTrue((System.nanoTime() - began) / 1e6 < DEADLINE_MS / 2.0, "long before the deadline");
+    }
+
+    /**
+     * Guards against events inside the module's own call: with all connections busy an attempt ends within
+     * send. Also against more sockets than there are.
+     */
+    @Test
+    void attemptsBeyondTheLastConnectionEndInOrder() throws Exception {
+        Fake[] hung = new Fake[4];
+        for (int i = 0; i < hung.length; i++) {
+            hung[i] = new Fake((wire, request) -> wire.awaitEnd());
+        }
+        rig = new Rig(hung);
+        rig.sockets = 1;
+        rig.start();
+        try (Wire ahead = rig.client()) {
+            for (int i = 0; i < 8; i++) {
+                ahead.send(rig.request("order", DEADLINE_MS));
+            }
+            Rig.await("all connections are busy", () -> rig.attempts() == 8);
+            assertEquals(503, rig.ask("order", DEADLINE_MS).status());
+            assertEquals(8, rig.attempts());
+            assertTrue(rig.logged().contains("all 8 connections to endpoints are busy"), rig.logged());
+            assertFalse(rig.logged().contains("module failed"), rig.logged());
+        }
+    }
+
+    /** Guards against running out of descriptors: beyond the bound clients are refused in good order. */
+    @Test
+    void clientsBeyondTheBoundAreRefused() throws Exception {
+        rig = new Rig(new Fake((wire, request) -> wire.awaitEnd()));
+        rig.sockets = 1;
+        rig.start();
+        List<Wire> clients = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            clients.add(rig.client().send(rig.request("order", DEADLINE_MS)));
+        }
+        Rig.await("some are in hand", () -> rig.attempts() == 4);
+        // Idle ones make room for those that come after; busy ones stay.
+        for (int i = 0; i < 12; i++) {
+            clients.add(rig.client());
+        }
+        clients.get(4).awaitEnd();
+        for (int i = 12; i < 16; i++) {
+            clients.get(i).send("POST /api HTTP/1.1\r\n");
+        }
+        clients.add(rig.client());
+        for (Wire client : clients) {
+            client.close();
+        }
+        Rig.await("the endpoint is let go", () -> rig.endpoints.get(0).open.get() == 0);
+        rig.endpoints.get(0).script = (wire, request) -> Fake.answer(wire, 200, "", "served");
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+    }
+
+    // ---- what is no request ----
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "X-Class: read|X-Class: novel|400", "X-Class: read|Y: z|400", "X-Request-Id: r0|Y: z|400",
+        "X-Deadline-Ms: 8000|X-Deadline-Ms: soon|400", "X-Deadline-Ms: 8000|Y: z|400",
+        "/api?q=1|/other|404", "GET /api|PUT /api|405", "HTTP/1.1|HTTP|400",
+        "Host: app.svc|Content-Length: 65537|413"})
+    void whatIsNoRequestGetsAPlainAnswer(String part, String instead, int status) throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        start(new Fake((wire, request) -> {
+            release.await();
+            Fake.answer(wire, 200, "", "served");
+        }));
+        try (Wire other = rig.client(); Wire client = rig.client()) {
+            String request = rig.request("read", DEADLINE_MS);
+            other.send(rig.request("read", DEADLINE_MS));
+            Rig.await("another request is in hand", () -> rig.attempts() == 1);
+            assertTrue(request.contains(part), part);
+            assertEquals(status, client.send(request.replace(part, instead)).read().status());
+            release.countDown();
+            assertEquals(200, other.read().status());
+        }
+        assertEquals(1, rig.attempts());
+    }
+
+    @Test
+    void anIdThatIsInHandIsNotTakenTwice() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        start(new Fake((wire, request) -> {
+            release.await();
+            Fake.answer(wire, 200, "", "served");
+        }));
+        try (Wire one = rig.client(); Wire two = rig.client()) {
+            String request = rig.request("read", DEADLINE_MS);
+            one.send(request);
+            Rig.await("it is in hand", () -> rig.attempts() == 1);
+            assertEquals(409, two.send(request).read().status());
+            release.countDown();
+            assertEquals(200, one.read().status());
+        }
+    }
+
+    // ---- connections to endpoints ----
+
+    /** Guards against writing on a connection that the endpoint is closing, which would be a reset. */
+    @Test
+    void idleConnectionsAreClosedBeforeTheEndpointDoes() throws Exception {
+        rig = new Rig(good());
+        rig.idleCloseMs = 400;
+        rig.start();
+        assertEquals(200, rig.ask("read", DEADLINE_MS).status());
+        Rig.await("the idle connection is closed", () -> rig.endpoints.get(0).open.get() == 0);
+    }
+
+    // ---- discovery ----
+
+    /** A discovery that answers calls with what the test puts in, one after another. */
+    private LinkedBlockingQueue<String> discovering() {
+        LinkedBlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        rig.discovery.script = (wire, request) -> {
+            String answer = answers.take();
+            if (answer.equals("reset")) {
+                wire.reset();
+            } else {
+                Fake.answer(wire, answer.isEmpty() ? 503 : 200, "", answer);
+            }
+        };
+        return answers;
+    }
+
+    @Test
+    void theWatchGoesOnFromTheVersionOfItsLastAnswer() throws Exception {
+        Fake before = good();
+        Fake after = good();
+        rig = new Rig(before);
+        rig.askWithinMs = 20;
+        LinkedBlockingQueue<String> answers = discovering();
+        rig.start();
+        answers.add(Rig.list(7, false, Rig.line(0, before.address(), "terminating", 0),
+            Rig.line(1, after.address(), "in_service", 0)));
+        Rig.await("the next call is made", () -> rig.discovery.requests.size() == 2);
+        assertEquals(List.of("GET /registry/instances?index=1&wait=20000 HTTP/1.1",
+            "GET /registry/instances?index=7&wait=20000 HTTP/1.1"),
+            rig.discovery.requests.stream().map(Wire.Message::line).toList());
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+        assertEquals(0, before.requests.size(), "it drains");
+        assertEquals(1, after.requests.size());
+        after.close();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "reset", "{\"version\":", "{\"version\":1}"})
+    void aCallThatFailedIsMadeAgain(String failure) throws Exception {
+        rig = new Rig(good());
+        rig.askWithinMs = 20;
+        LinkedBlockingQueue<String> answers = discovering();
+        rig.start();
+        answers.add(failure);
+        answers.add(failure);
+        Rig.await("it asks again", () -> rig.discovery.requests.size() >= 3);
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+        assertTrue(rig.logged().contains("discovery failed"), rig.logged());
+    }
+
+    /** Guards against connections to a process that is no more, on which a request would be reset. */
+    @ParameterizedTest
+    @CsvSource({"true,0", "false,1000"})
+    void anEndpointThatMovesOrRestartsGetsNewConnections(boolean moves, long started) throws Exception {
+        Fake old = good();
+        rig = new Rig(old);
+        rig.askWithinMs = 20;
+        LinkedBlockingQueue<String> answers = discovering();
+        rig.start();
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+        Fake now = moves ? good() : old;
+        answers.add(Rig.list(2, false, Rig.line(0, now.address(), "in_service", started)));
+        Rig.await("the old connection is closed", () -> old.open.get() == 0);
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+        assertEquals(moves ? 1 : 2, old.connections.get());
+        now.close();
+    }
+
+    // ---- start and end ----
+
+    @Test
+    void itIsReadyOnlyWithAnEndpointToServeFrom() throws Exception {
+        start();
+        String ask = "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+        try (Wire client = rig.client()) {
+            assertEquals(503, client.send(ask).read().status());
+        }
+        stop();
+        start(good());
+        try (Wire client = rig.client()) {
+            assertEquals(200, client.send(ask).read().status());
+        }
+    }
+
+    /** Guards against requests lost at a planned restart: those in hand and those still coming are served. */
+    @Test
+    void aDrainAnswersWhatIsInHandAndWhatStillComes() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        start(new Fake((wire, request) -> {
+            if (request.headers().get("x-request-id").equals("r0")) {
+                release.await();
+            }
+            Fake.answer(wire, 200, "", "served");
+        }));
+        Wire inHand = rig.client().send(rig.request("order", DEADLINE_MS));
+        Wire idle = rig.client();
+        Rig.await("one is in hand", () -> rig.attempts() == 1);
+        Thread drain = new Thread(rig.sidecar::drain);
+        drain.start();
+        Wire.Message late = null;
+        do {
+            late = rig.ask("order", DEADLINE_MS);
+            assertEquals(200, late.status());
+        } while (!"close".equals(late.headers().get("connection")));
+        idle.awaitEnd();
+        assertTrue(drain.isAlive(), "it waits for what is in hand");
+        release.countDown();
+        Wire.Message answer = inHand.read();
+        assertEquals(200, answer.status());
+        assertEquals("close", answer.headers().get("connection"));
+        drain.join();
+        assertThrows(IOException.class, () -> rig.client());
+    }
+
+    /** Guards against one bad peer that harms the rest. */
+    @Test
+    void rudePeersHarmNobody() throws Exception {
+        start(good());
+        for (int i = 0; i < 20; i++) {
+            rig.client().send("GET /api HT").reset();
+            rig.client().send("\0\0\0\r\n\r\n").reset();
+        }
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+        try (Wire client = rig.client()) {
+            client.send("GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n");
+            assertEquals(400, client.read().status());
+            assertThrows(EOFException.class, client::read);
+        }
+    }
+}
