Warm up before ready

Mend: Warmup runs 400 made-up requests through a second set of the parts on the sidecar's own address; ready is told after it. Test: nothing of it reaches endpoint or discovery.

--- a/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/src/main/java/mapleroute/sidecar/EndpointPool.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -89,7 +90,6 @@
         int generation;
     }
 
-    private final EventLoop loop;
     private final Clock clock;
     private final Complaints complaints;
     private final Bootstrap bootstrap;
@@ -98,11 +98,11 @@
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     /** All idle connections, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
+    private final Future<?> sweeping;
     private int open;
 
     EndpointPool(EventLoop loop, Clock clock, Complaints complaints, double dialMs, double idleCloseMs,
             int most) {
-        this.loop = loop;
         this.clock = clock;
         this.complaints = complaints;
         this.most = most;
@@ -112,7 +112,7 @@
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(dialMs));
         long sweep = (long) Math.ceil(idleMs / SWEEPS);
-        loop.scheduleWithFixedDelay(this::closeStale, sweep, sweep, TimeUnit.MILLISECONDS);
+        sweeping = loop.scheduleWithFixedDelay(this::closeStale, sweep, sweep, TimeUnit.MILLISECONDS);
     }
 
     /** Takes in where endpoints listen; connections to a process or address that is no more are dropped. */
@@ -202,9 +202,10 @@
         }
     }
 
-    /** How many connections are open or being opened. */
-    int open() {
-        return open;
+    /** Lets go of all idle connections; no more are looked after. */
+    void close() {
+        sweeping.cancel(false);
+        endpoints.values().forEach(EndpointPool::closeAll);
     }
 
     private final class Connection extends ChannelInboundHandlerAdapter {
--- a/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/src/main/java/mapleroute/sidecar/Exchange.java
@@ -95,7 +95,8 @@
     private final Clock clock;
     private final Complaints complaints;
     private final EndpointPool endpoints;
-    private final DiscoveryClient discovery;
+    /** Begins a watch on discovery. */
+    private final Runnable watch;
     private final Settings settings;
     private final Events module;
     private final Map<String, Open> table = new HashMap<>();
@@ -105,18 +106,17 @@
     private boolean listed;
 
     Exchange(EventLoop loop, Clock clock, Complaints complaints, EndpointPool endpoints,
-            DiscoveryClient discovery, SidecarConfig config) {
+            Runnable watch, SidecarConfig config) {
         this.loop = loop;
         this.clock = clock;
         this.complaints = complaints;
         this.endpoints = endpoints;
-        this.discovery = discovery;
+        this.watch = watch;
         settings = config.settings();
-        discovery.listen(this, config.known().version());
         module = new Decide(settings, config.seed(), this);
         tellList(ListKind.CACHED, config.known());
         if (!settings.asksForList()) {
-            discovery.watch();
+            watch.run();
         }
     }
 
@@ -181,7 +181,7 @@
         if (settings.asksForList()) {
             raise(null, now -> module.onServers(now, ListKind.FAILED, List.of()));
         } else {
-            after(AGENT_PAUSE_MS, discovery::watch);
+            after(AGENT_PAUSE_MS, watch);
         }
     }
 
@@ -319,7 +319,7 @@
 
     @Override
     public void subscribe() {
-        discovery.watch();
+        watch.run();
     }
 
     @Override
--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/src/main/java/mapleroute/sidecar/Frontend.java
@@ -65,6 +65,7 @@
     /** Those with no request in hand, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
     private Channel listener;
+    private boolean warm;
     private boolean draining;
 
     Frontend(EventLoop loop, Clock clock, Complaints complaints, Exchange exchange, Settings settings,
@@ -96,6 +97,11 @@
         return bound;
     }
 
+    /** The code has run often enough to be quick: from now on it may be used. */
+    void warm() {
+        warm = true;
+    }
+
     /** From now on each answer is the last on its connection. */
     void drain() {
         draining = true;
@@ -173,9 +179,9 @@
         }
 
         private void ready(Reply reply) {
-            boolean ready = !draining && exchange.knowsEndpoints();
+            boolean ready = warm && !draining && exchange.knowsEndpoints();
             reply.plain(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                ready ? "ready" : draining ? "draining" : "no endpoint is known yet", true);
+                ready ? "ready" : draining ? "draining" : warm ? "no endpoint is known" : "starting", true);
         }
 
         private void api(Reply reply, FullHttpRequest request) {
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -46,6 +46,7 @@
                 throw new IOException("cannot listen on " + config.listen() + ": "
                     + bound.cause().getMessage());
             }
+            sidecar.warm(config, log);
             sidecar.address = (InetSocketAddress) bound.channel().localAddress();
             return sidecar;
         } catch (InterruptedException e) {
@@ -60,10 +61,19 @@
         EndpointPool endpoints = new EndpointPool(loop, clock, complaints,
             config.settings().limits().connectTimeoutMs(), config.idleCloseMs(), half);
         DiscoveryClient discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints);
-        exchange = new Exchange(loop, clock, complaints, endpoints, discovery, config);
+        exchange = new Exchange(loop, clock, complaints, endpoints, discovery::watch, config);
+        discovery.listen(exchange, config.known().version());
         frontend = new Frontend(loop, clock, complaints, exchange, config.settings(), half);
     }
 
+    private void warm(SidecarConfig config, PrintStream log) {
+        long began = System.nanoTime();
+        loop.execute(() -> new Warmup(loop, config, () -> {
+            frontend.warm();
+            log.println("mapleroute: warm after " + (System.nanoTime() - began) / 1_000_000 + " ms");
+        }).start());
+    }
+
     /** Answers all that is in hand and still comes in, then returns; the sidecar has nothing left to do. */
     public void drain() {
         CountDownLatch empty = new CountDownLatch(1);
--- /dev/null
+++ b/src/main/java/mapleroute/sidecar/Warmup.java
@@ -0,0 +1,191 @@
+package mapleroute.sidecar;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import mapleroute.Contract.Effect;
+import mapleroute.Contract.RequestClass;
+import mapleroute.Contract.Server;
+import mapleroute.Contract.State;
+
+/**
+ * Runs made-up requests through a second set of the sidecar's parts, on its own address, so that the code
+ * is loaded and compiled before clients come. Nothing of it reaches an endpoint or outlives it.
+ */
+final class Warmup {
+
+    /** Enough for the compiler to have taken up what every request runs through. */
+    private static final int ROUNDS = 400;
+    /** A busy machine must not keep a sidecar from starting. */
+    private static final int MOST_MS = 3000;
+
+    private final EventLoop loop;
+    private final SidecarConfig config;
+    private final Runnable done;
+    private EndpointPool pool;
+    private Frontend frontend;
+    private Channel endpoint;
+    private Channel client;
+    private int rounds;
+    private boolean over;
+
+    Warmup(EventLoop loop, SidecarConfig config, Runnable done) {
+        this.loop = loop;
+        this.config = config;
+        this.done = done;
+    }
+
+    void start() {
+        loop.schedule(this::end, MOST_MS, TimeUnit.MILLISECONDS);
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .childOption(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
+            .childHandler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel accepted) {
+                    accepted.pipeline().addLast(new HttpServerCodec(),
+                        new HttpObjectAggregator(EndpointPool.MOST_BODY), new Endpoint());
+                }
+            })
+            .bind(ephemeral());
+        endpoint = bound.channel();
+        bound.addListener(up -> {
+            if (up.isSuccess() && !over) {
+                startSidecar((InetSocketAddress) endpoint.localAddress());
+            } else {
+                end();
+            }
+        });
+    }
+
+    private InetSocketAddress ephemeral() {
+        return new InetSocketAddress(config.listen().getAddress(), 0);
+    }
+
+    private void startSidecar(InetSocketAddress at) {
+        Clock clock = new Clock();
+        Complaints silent = new Complaints(clock, new PrintStream(OutputStream.nullOutputStream()));
+        ServerList list = new ServerList(0, true, List.of(new ServerList.Entry(
+            new Server("warm-up", config.settings().ownZone(), 0, 0, 0, State.READY, 1), at)));
+        SidecarConfig own = new SidecarConfig(ephemeral(), at, config.seed(), config.sockets(),
+            config.idleCloseMs(), config.names(), list, config.settings());
+        pool = new EndpointPool(loop, clock, silent, MOST_MS, config.idleCloseMs(), config.sockets());
+        Exchange exchange = new Exchange(loop, clock, silent, pool, () -> { }, own);
+        frontend = new Frontend(loop, clock, silent, exchange, config.settings(), config.sockets());
+        ChannelFuture bound = frontend.listen(own.listen());
+        bound.addListener(up -> {
+            if (up.isSuccess() && !over) {
+                startClient((InetSocketAddress) bound.channel().localAddress());
+            } else {
+                end();
+            }
+        });
+    }
+
+    private void startClient(InetSocketAddress at) {
+        ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel fresh) {
+                    fresh.pipeline().addLast(new HttpClientCodec(),
+                        new HttpObjectAggregator(EndpointPool.MOST_BODY), new Client());
+                }
+            })
+            .connect(at);
+        client = connecting.channel();
+        connecting.addListener(up -> {
+            if (up.isSuccess()) {
+                ask();
+            } else {
+                end();
+            }
+        });
+    }
+
+    private void ask() {
+        List<RequestClass> classes = config.settings().classes();
+        RequestClass kind = classes.get(rounds % classes.size());
+        boolean safe = kind.effect() == Effect.REPEATABLE;
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+            safe ? HttpMethod.GET : HttpMethod.POST, "/api",
+            safe ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(new byte[128]));
+        request.headers().set("X-Request-Id", "warm-up-" + rounds).set("X-Class", kind.name())
+            .set(Frontend.DEADLINE, MOST_MS).set("Host", "warm-up").set("Cookie", "key=0")
+            .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+        if (!config.settings().tenants().isEmpty()) {
+            request.headers().set("X-Tenant", config.settings().tenants().get(0).name());
+        }
+        client.writeAndFlush(request);
+    }
+
+    private void end() {
+        if (over) {
+            return;
+        }
+        over = true;
+        endpoint.close();
+        if (client != null) {
+            client.close();
+        }
+        if (frontend != null) {
+            frontend.close();
+            pool.close();
+        }
+        done.run();
+    }
+
+    private static final class Endpoint extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.OK, Unpooled.wrappedBuffer(new byte[128]));
+            answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
+            ctx.writeAndFlush(answer);
+        }
+    }
+
+    private final class Client extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+            if (++rounds < ROUNDS) {
+                ask();
+            } else {
+                end();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            end();
+        }
+    }
+}
