A hung server's time-outs no longer count as crowding

Mend: a time-out of a server silent for 4 of its usual gaps between answers says nothing of crowding, unless half of all servers look bad.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -56,6 +56,8 @@
     private static final double CONNECT_ROUNDS = 4;
     /** The most doublings of a failing server's pause. */
     private static final int MOST_DOUBLINGS = 5;
+    /** A server silent for this multiple of its usual gap hangs: by chance that is 2 in 100 at random gaps. */
+    private static final double HANG_GAPS = 4;
     /** A server's slowness is kept within this factor either way: more would rest on too few samples. */
     private static final double SLOWEST = 8;
     private static final double FASTEST = 0.6;
@@ -152,6 +154,9 @@
         Slot spare;
         int inFlight;
         int strikes;
+        /** When it last answered, and the usual time between its answers to this balancer; 0 before both. */
+        double lastAnswer;
+        double answerGapMs;
         double pausedUntil;
         /** A connect has failed, though other connections stand, and nothing was answered since. */
         boolean connectFailed;
@@ -169,6 +174,14 @@
             this.hash = mix(id);
         }
 
+        void answered(double now) {
+            if (lastAnswer > 0) {
+                double gap = now - lastAnswer;
+                answerGapMs += (answerGapMs == 0 ? 1 : SERVER_GAIN) * (gap - answerGapMs);
+            }
+            lastAnswer = now;
+        }
+
         /** A 32-bit FNV-1a hash, finished with a mix, the same at every balancer. */
         private static long mix(String text) {
             int h = 0x811c9dc5;
@@ -402,6 +415,11 @@
     /** Moves the limit by an outcome: down while answers take too much of the aim, else slowly up. */
     private void judgeCrowding(double now, Call call, Target target, Finished finished) {
         double base = learned[call.request.requestClass()].baseMs();
+        if (finished.outcome() == Outcome.OK) {
+            target.answered(now);
+        } else if (finished.outcome() == Outcome.TIMED_OUT && hangs(now, target)) {
+            return;
+        }
         double ratio = switch (finished.outcome()) {
             case OK, TIMED_OUT -> Math.max(0, Math.min(2, (finished.tookMs() - base)
                 / Math.max(call.kind.aimMs() - base, call.kind.aimMs() / 4)));
@@ -426,6 +444,15 @@
         }
     }
 
+    /**
+     * Guards against a limit that one hung server takes down: a crowded server answers late, a hung one not
+     * at all, and fewer calls help only the first. If many are silent, they are crowded after all.
+     */
+    private boolean hangs(double now, Target target) {
+        return target.answerGapMs > 0 && now - target.lastAnswer > HANG_GAPS * target.answerGapMs
+            && !blamedOnShared();
+    }
+
     /**
      * Where the limit is a call or two, answers are few and tell late what a change has done, and one call
      * more is a large step: such balancers keep further from the edge.
@@ -1135,6 +1162,8 @@
         target.strikes = 0;
         target.pausedUntil = 0;
         target.slowness = 1;
+        target.lastAnswer = 0;
+        target.answerGapMs = 0;
     }
 
     private void keepOneSlot(Target target) {
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/src/test/java/mapleroute/DecideTest.java
@@ -13,7 +13,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import mapleroute.Contract.Finished;
 import mapleroute.Contract.ListKind;
+import mapleroute.Contract.Load;
 import mapleroute.Contract.Outcome;
 import mapleroute.Contract.State;
 import mapleroute.Contract.Tenant;
@@ -382,6 +384,35 @@
         assertTrue(atOnceAfter(f, 100, 200) > slow, "grows again");
     }
 
+    /** Guards against a limit that one hung server takes down to a call or two, where it would stay. */
+    @Test
+    void aHungServerIsNotTakenForCrowding() {
+        Fixture f = Fixture.of(2, 0, 0).list(Fixture.servers(4));
+        int before = atOnceAfter(f, 100, 20);
+        List<Recorder.Sent> hung = new ArrayList<>();
+        int from = f.host.sent.size();
+        for (int i = 0; i < before; i++) {
+            f.request(Fixture.REPEATABLE);
+        }
+        List<Recorder.Sent> sent = List.copyOf(f.host.sent.subList(from, f.host.sent.size()));
+        f.now += 100;
+        for (Recorder.Sent each : sent) {
+            if (each.server().equals(sent.get(0).server())) {
+                hung.add(each);
+            } else {
+                f.finish(each, Outcome.OK, 100);
+            }
+        }
+        assertTrue(hung.size() >= 3, hung.size() + " calls hang");
+        for (Recorder.Sent each : hung) {
+            f.now += 990;
+            f.balancer.onFinished(f.now, new Finished(each.request(), each.attempt(), each.server(),
+                Outcome.TIMED_OUT, 990, true, Load.NONE));
+        }
+        int after = atOnceAfter(f, 100, 1);
+        assertTrue(after > before * 0.8, before + " calls at once before the hang and " + after + " after");
+    }
+
     /** Guards against a limit that creeps back after a shared slowdown is over (addis fresh day). */
     @Test
     void aLimitThatWasCutLowIsSoonBack() {
