Program tests, a shorter comment line, sending that throws

Exchange.send: if the network library throws, the attempt ends as a reset (it may have run) instead of staying open until the deadline; found by reading, no run showed it. MainTest starts the real process: exit 0 after SIGTERM, one plain line for a bad configuration.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -56,7 +56,7 @@
     private static final double CONNECT_ROUNDS = 4;
     /** The most doublings of a failing server's pause. */
     private static final int MOST_DOUBLINGS = 5;
-    /** A server silent for this multiple of its usual gap hangs: by chance that is 2 in 100 at random gaps. */
+    /** A server silent for so many of its usual gaps hangs: at random gaps that is 2 in 100 by chance. */
     private static final double HANG_GAPS = 4;
     /** A server's slowness is kept within this factor either way: more would rest on too few samples. */
     private static final double SLOWEST = 8;
--- a/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/src/main/java/mapleroute/sidecar/Exchange.java
@@ -235,13 +235,19 @@
             end(open, made, Outcome.TIMED_OUT);
         } else {
             made.timeout = after(wait, () -> giveUp(open, made, Outcome.TIMED_OUT));
-            made.attempt = endpoints.send(server, message(open.message, wait), (outcome, answer) -> {
-                if (outcome == Outcome.OK && !open.concluded && !made.ended) {
-                    conclude(open);
-                    open.client.served(answer);
-                }
-                end(open, made, outcome);
-            });
+            try {
+                made.attempt = endpoints.send(server, message(open.message, wait), (outcome, answer) -> {
+                    if (outcome == Outcome.OK && !open.concluded) {
+                        conclude(open);
+                        open.client.served(answer);
+                    }
+                    end(open, made, outcome);
+                });
+            } catch (RuntimeException e) {
+                // How far it came is not known, so it may have run; the module must hear of its end.
+                complaints.bug("sending failed", e);
+                end(open, made, Outcome.RESET);
+            }
         }
     }
 
--- /dev/null
+++ b/src/test/java/mapleroute/MainTest.java
@@ -0,0 +1,69 @@
+package mapleroute;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as a process: how it starts and how it ends. */
+@Timeout(60)
+class MainTest {
+
+    private static final String CONFIG = """
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
+        "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+        "known":{"version":0,"full":true,"servers":[]},
+        "settings":{"azs":["a"],"models":[],"membership-mode":"on_request",
+        "classes":[{"name":"read","effect":"repeatable","slo-ms":500,"hard-limit-ms":1000}],
+        "limits":{"dial-timeout-ms":200,"idle-close-ms":15000,"try-limit":3},"rules":{}}}""";
+
+    @TempDir
+    Path folder;
+
+    private Process serve(String config) throws IOException {
+        Path file = Files.writeString(folder.resolve("config.json"), config);
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+            .toString(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+            "mapleroute.Main", "serve");
+        builder.environment().put("GW_CONFIG", file.toString());
+        return builder.redirectErrorStream(true).start();
+    }
+
+    /** Guards against a planned restart that counts as a crash: after SIGTERM it exits with 0. */
+    @Test
+    void aStopBySignalIsACleanExit() throws Exception {
+        Process process = serve(CONFIG);
+        try (BufferedReader log = process.inputReader()) {
+            String line = log.readLine();
+            while (line != null && !line.contains("warm after")) {
+                line = log.readLine();
+            }
+            assertNotEquals(null, line, "it starts");
+            // This is SIGTERM; unlike Process.destroy it leaves the log readable.
+            process.toHandle().destroy();
+            assertEquals(0, process.waitFor());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    @Test
+    void aConfigurationThatIsBadIsOnePlainLine() throws Exception {
+        Process process = serve(CONFIG.replace("\"sockets\":1024", "\"sockets\":\"many\""));
+        try (BufferedReader log = process.inputReader()) {
+            List<String> lines = log.lines().toList();
+            assertEquals(List.of("mapleroute: field limits.sockets is not usable: many"), lines);
+            assertTrue(process.waitFor() > 0);
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+}
