Every refusal tells when to come back

Seen: no refusal carried Retry-After at this site. Cause: Decide.coolDown() gave 0 where limits.retry-after is false, as it is here; the operators ask that clients be told. Test: the sidecar's refusal test now has the setting false; it fails without the mend.

--- a/src/main/java/mapleroute/Contract.java
+++ b/src/main/java/mapleroute/Contract.java
@@ -70,8 +70,8 @@
     }
 
     /** What the site permits. */
-    public record Limits(int tries, boolean parallelTries, boolean cancel, boolean coolDown,
-            double maxCoolDownMs, double connectTimeoutMs) {
+    public record Limits(int tries, boolean parallelTries, boolean cancel, double maxCoolDownMs,
+            double connectTimeoutMs) {
         public Limits {
             positive("limits.tries", tries);
             finite("limits.maxCoolDown", maxCoolDownMs);
--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -638,8 +638,9 @@
         forget(call);
     }
 
+    /** Told with every refusal, also where few clients are said to heed it: it costs nothing. */
     private double coolDown() {
-        return settings.limits().coolDown() ? settings.limits().maxCoolDownMs() / 4 : 0;
+        return settings.limits().maxCoolDownMs() / 4;
     }
 
     private void forget(Call call) {
--- a/src/main/java/mapleroute/SettingsReader.java
+++ b/src/main/java/mapleroute/SettingsReader.java
@@ -63,7 +63,7 @@
         }
         Map<String, Object> l = map(p, "limits");
         Limits limits = new Limits((int) number(l, "try-limit", 1), flag(l, "parallel-tries"),
-                flag(l, "cancel"), flag(l, "retry-after"), number(l, "max-retry-after-ms", 0),
+                flag(l, "cancel"), number(l, "max-retry-after-ms", 0),
                 number(l, "dial-timeout-ms", 250));
         Map<String, Object> r = map(p, "rules");
         Rules rules = new Rules(number(r, "cold-share", 1), number(r, "cold-ms", 0),
--- a/src/test/java/mapleroute/BadInputTest.java
+++ b/src/test/java/mapleroute/BadInputTest.java
@@ -39,8 +39,8 @@
             new RequestClass("c", 100, bad, 1, 0, Effect.ONCE, Group.ALL, 0, false));
         refused("classes[].worth", bad, () ->
             new RequestClass("c", 100, 1000, bad, 0, Effect.ONCE, Group.ALL, 0, false));
-        refused("limits.connectTimeout", bad, () -> new Limits(3, true, true, true, 2000, bad));
-        refused("limits.maxCoolDown", bad, () -> new Limits(3, true, true, true, bad, 200));
+        refused("limits.connectTimeout", bad, () -> new Limits(3, true, true, 2000, bad));
+        refused("limits.maxCoolDown", bad, () -> new Limits(3, true, true, bad, 200));
         refused("rules.coldShare", bad, () -> new Rules(bad, 8000, 3, 1000, 1000, 10_000));
         refused("rules.coldMs", bad, () -> new Rules(0.3, bad, 3, 1000, 1000, 10_000));
         refused("rules.askWithin", bad, () -> new Rules(0.3, 8000, 3, 1000, 1000, bad));
--- a/src/test/java/mapleroute/EmbeddingExampleTest.java
+++ b/src/test/java/mapleroute/EmbeddingExampleTest.java
@@ -30,7 +30,7 @@
         Settings settings = new Settings(3, 0, 0, 0, false, false, 0.1, 0,
             List.of(new RequestClass("read", 300, 1000, 1, 0, Effect.REPEATABLE, Group.ALL, 0, false)),
             List.of(),
-            new Limits(3, true, true, true, 2000, 250),
+            new Limits(3, true, true, 2000, 250),
             new Rules(0.3, 9000, 3, 1000, 1000, 10_000));
         Decide balancer = new Decide(settings, 42, sidecar);
 
--- a/src/test/java/mapleroute/Fixture.java
+++ b/src/test/java/mapleroute/Fixture.java
@@ -39,7 +39,7 @@
             new RequestClass("order", 1000, 3000, 1, 0.5, Effect.ONCE, Group.ALL, 0, false),
             new RequestClass("save", 1000, 3000, 1, 0.5, Effect.BY_KEY, Group.CELL, 800, false));
         return new Settings(balancers, own, 0, tier, false, true, 0.1, 0, classes, List.of(tenants),
-            new Limits(3, parallel, true, true, 2000, 200),
+            new Limits(3, parallel, true, 2000, 200),
             new Rules(0.3, 8000, 3, 1000, 1000, 10_000));
     }
 
--- a/src/test/java/mapleroute/sidecar/Rig.java
+++ b/src/test/java/mapleroute/sidecar/Rig.java
@@ -57,7 +57,7 @@
             {"name":"read","effect":"repeatable","group":"all","hard-limit-ms":9000,"slo-ms":9000,"worth":1},
             {"name":"order","effect":"once","group":"all","hard-limit-ms":9000,"slo-ms":9000,"worth":1}],
             "limits":{"cancel":true,"dial-timeout-ms":2000,"idle-close-ms":%d,"max-retry-after-ms":2000,
-            "parallel-tries":true,"retry-after":true,"try-limit":3},
+            "parallel-tries":true,"retry-after":false,"try-limit":3},
             "rules":{"cold-share":0.5,"cold-ms":1000,"tip-multiple":3,"fall-ms":1000,"drain-grace-ms":500,
             "ask-within-ms":%d}}}""".formatted(discovery.address(), sockets, list(1, true,
                 lines.toArray(String[]::new)), idleCloseMs, askWithinMs);
