SIGHUP reads the configuration again and moves the watch on discovery

Cause: no handler; DiscoveryClient's address was fixed. Now: a handler before all else in Main; the event loop reads the file again and moves the watch at once, asking for the whole list; the old call is dropped without a word of failure. A bad file is one log line.

--- a/src/main/java/mapleroute/Main.java
+++ b/src/main/java/mapleroute/Main.java
@@ -8,10 +8,11 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import mapleroute.benchlink.BenchLink;
 import mapleroute.benchlink.WireException;
 import mapleroute.sidecar.Sidecar;
-import mapleroute.sidecar.SidecarConfig;
+import sun.misc.Signal;
 
 /** The command line: {@code serve} is one real sidecar, {@code benchlink} the simulator's adapter. */
 public final class Main {
@@ -51,19 +52,23 @@
         }
     }
 
-    /** Starts a sidecar that runs until SIGTERM; returns the exit status of a start that failed. */
+    /** Starts a sidecar, to run until SIGTERM; returns the exit status of a start that failed. */
     static int serve(String configFile, PrintStream errors) {
+        // Before all else: until there is a handler, SIGHUP ends the program.
+        CompletableFuture<Sidecar> running = new CompletableFuture<>();
+        Signal.handle(new Signal("HUP"), signal -> running.thenAccept(Sidecar::reload));
         try {
             if (configFile == null || configFile.isBlank()) {
                 throw new IllegalArgumentException("GW_CONFIG must name the configuration file but is "
                     + configFile);
             }
-            Sidecar sidecar = Sidecar.start(SidecarConfig.read(Path.of(configFile)), errors);
+            Sidecar sidecar = Sidecar.start(Path.of(configFile), errors);
             // Halting from the hook, once empty, makes a stop by SIGTERM a clean exit.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 sidecar.drain();
                 Runtime.getRuntime().halt(0);
             }, "drain"));
+            running.complete(sidecar);
             return 0;
         } catch (IOException | RuntimeException e) {
             errors.println("mapleroute: " + (e.getMessage() == null ? e.toString()
--- a/src/main/java/mapleroute/sidecar/DiscoveryClient.java
+++ b/src/main/java/mapleroute/sidecar/DiscoveryClient.java
@@ -24,6 +24,7 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -46,12 +47,13 @@
     }
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final ServerList.Names names;
     private final Complaints complaints;
     private final Bootstrap bootstrap;
     private Listener listener;
-    private long version;
+    private InetSocketAddress address;
+    /** What is known of the list at this address; none calls for the whole of it. */
+    private OptionalLong version = OptionalLong.empty();
     private Channel channel;
     /** Set while a call is out. */
     private Future<?> silence;
@@ -78,7 +80,22 @@
     /** Who hears of lists, and which version is known already. */
     void listen(Listener hearer, long known) {
         listener = hearer;
-        version = known;
+        version = OptionalLong.of(known);
+    }
+
+    /**
+     * Goes on at another address, at once and without a word of failure. Versions are counted anew there,
+     * so it is asked for the whole list.
+     */
+    void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        version = OptionalLong.empty();
+        callEnded();
+        dropConnection();
+        watch();
     }
 
     /** Starts a watch; one that is on goes on, and its next answer serves for both. */
@@ -86,7 +103,8 @@
         if (silence != null) {
             return;
         }
-        silence = loop.schedule(() -> fail("no answer in time"), WAIT_MS + SILENCE_MS, TimeUnit.MILLISECONDS);
+        silence = loop.schedule(() -> fail("no answer in time"),
+            (version.isPresent() ? WAIT_MS : 0) + SILENCE_MS, TimeUnit.MILLISECONDS);
         if (channel != null && channel.isActive()) {
             ask();
             return;
@@ -107,24 +125,36 @@
 
     private void ask() {
         FullHttpRequest call = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-            "/registry/instances?index=" + version + "&wait=" + WAIT_MS, Unpooled.EMPTY_BUFFER);
+            "/registry/instances" + (version.isPresent()
+                ? "?index=" + version.getAsLong() + "&wait=" + WAIT_MS : ""), Unpooled.EMPTY_BUFFER);
         call.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
         channel.writeAndFlush(call);
     }
 
     private void fail(Object why) {
+        dropConnection();
+        if (callEnded()) {
+            complaints.log("discovery failed", why);
+            listener.failed();
+        }
+    }
+
+    private void dropConnection() {
         if (channel != null) {
-            Channel broken = channel;
+            Channel dropped = channel;
             channel = null;
-            broken.close();
+            dropped.close();
         }
+    }
+
+    /** No call is out from here on; true if one was. */
+    private boolean callEnded() {
         if (silence == null) {
-            return;
+            return false;
         }
         silence.cancel(false);
         silence = null;
-        complaints.log("discovery failed", why);
-        listener.failed();
+        return true;
     }
 
     private final class Calls extends SimpleChannelInboundHandler<FullHttpResponse> {
@@ -146,9 +176,8 @@
                 fail(e.getMessage());
                 return;
             }
-            silence.cancel(false);
-            silence = null;
-            version = list.version();
+            callEnded();
+            version = OptionalLong.of(list.version());
             if (!HttpUtil.isKeepAlive(answer)) {
                 channel = null;
                 ctx.close();
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -23,30 +24,36 @@
     private static final int LINGER_MS = 600;
     private static final int EMPTY_POLL_MS = 10;
 
+    private final Path file;
+    private final PrintStream log;
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private Frontend frontend;
+    private DiscoveryClient discovery;
     private InetSocketAddress address;
     private Exchange exchange;
 
-    private Sidecar() {
+    private Sidecar(Path file, PrintStream log) {
+        this.file = file;
+        this.log = log;
         group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("sidecar"),
             NioIoHandler.newFactory());
         loop = (EventLoop) group.next();
     }
 
-    /** Starts to listen; what goes wrong is an exception whose message says so plainly. */
-    public static Sidecar start(SidecarConfig config, PrintStream log) throws IOException {
-        Sidecar sidecar = new Sidecar();
+    /** Reads the configuration and listens; what goes wrong is an exception whose message says so plainly. */
+    public static Sidecar start(Path file, PrintStream log) throws IOException {
+        SidecarConfig config = SidecarConfig.read(file);
+        Sidecar sidecar = new Sidecar(file, log);
         try {
-            sidecar.loop.submit(() -> sidecar.build(config, log)).syncUninterruptibly();
+            sidecar.loop.submit(() -> sidecar.build(config)).syncUninterruptibly();
             var bound = sidecar.frontend.listen(config.listen()).await();
             if (!bound.isSuccess()) {
                 sidecar.stop();
                 throw new IOException("cannot listen on " + config.listen() + ": "
                     + bound.cause().getMessage());
             }
-            sidecar.warm(config, log);
+            sidecar.warm(config);
             sidecar.address = (InetSocketAddress) bound.channel().localAddress();
             return sidecar;
         } catch (InterruptedException e) {
@@ -54,19 +61,19 @@
         }
     }
 
-    private void build(SidecarConfig config, PrintStream log) {
+    private void build(SidecarConfig config) {
         Clock clock = new Clock();
         Complaints complaints = new Complaints(clock, log);
         int half = Math.max(8, (config.sockets() - SPARE_SOCKETS) / 2);
         EndpointPool endpoints = new EndpointPool(loop, clock, complaints,
             config.settings().limits().connectTimeoutMs(), config.idleCloseMs(), half);
-        DiscoveryClient discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints);
+        discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints);
         exchange = new Exchange(loop, clock, complaints, endpoints, discovery::watch, config);
         discovery.listen(exchange, config.known().version());
         frontend = new Frontend(loop, clock, complaints, exchange, config.settings(), half);
     }
 
-    private void warm(SidecarConfig config, PrintStream log) {
+    private void warm(SidecarConfig config) {
         long began = System.nanoTime();
         loop.execute(() -> new Warmup(loop, config, () -> {
             frontend.warm();
@@ -74,6 +81,22 @@
         }).start());
     }
 
+    /**
+     * Reads the configuration again and moves to the discovery that it names; the rest of it holds from the
+     * next start on. One that cannot be used changes nothing.
+     */
+    public void reload() {
+        loop.execute(() -> {
+            try {
+                InetSocketAddress named = SidecarConfig.read(file).discovery();
+                log.println("mapleroute: configuration read again: discovery is at " + named);
+                discovery.move(named);
+            } catch (IOException | RuntimeException e) {
+                log.println("mapleroute: the configuration stays as it was: " + e.getMessage());
+            }
+        });
+    }
+
     /** Answers all that is in hand and still comes in, then returns; the sidecar has nothing left to do. */
     public void drain() {
         CountDownLatch empty = new CountDownLatch(1);
--- a/src/test/java/mapleroute/MainTest.java
+++ b/src/test/java/mapleroute/MainTest.java
@@ -42,11 +42,7 @@
     void aStopBySignalIsACleanExit() throws Exception {
         Process process = serve(CONFIG);
         try (BufferedReader log = process.inputReader()) {
-            String line = log.readLine();
-            while (line != null && !line.contains("warm after")) {
-                line = log.readLine();
-            }
-            assertNotEquals(null, line, "it starts");
+            awaitLine(log, "warm after");
             // This is SIGTERM; unlike Process.destroy it leaves the log readable.
             process.toHandle().destroy();
             assertEquals(0, process.waitFor());
@@ -55,6 +51,33 @@
         }
     }
 
+    /** Guards against a reload that ends the program: SIGHUP reads the configuration again, each time. */
+    @Test
+    void aSighupReadsTheConfigurationAgain() throws Exception {
+        Process process = serve(CONFIG);
+        try (BufferedReader log = process.inputReader()) {
+            awaitLine(log, "warm after");
+            for (String port : List.of("2", "3")) {
+                Files.writeString(folder.resolve("config.json"),
+                    CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + port + "\""));
+                assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor());
+                awaitLine(log, "discovery is at /127.0.0.1:" + port);
+            }
+            process.toHandle().destroy();
+            assertEquals(0, process.waitFor());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    private static void awaitLine(BufferedReader log, String part) throws IOException {
+        String line = log.readLine();
+        while (line != null && !line.contains(part)) {
+            line = log.readLine();
+        }
+        assertNotEquals(null, line, "it goes on to say: " + part);
+    }
+
     @Test
     void aConfigurationThatIsBadIsOnePlainLine() throws Exception {
         Process process = serve(CONFIG.replace("\"sockets\":1024", "\"sockets\":\"many\""));
--- a/src/test/java/mapleroute/sidecar/Rig.java
+++ b/src/test/java/mapleroute/sidecar/Rig.java
@@ -21,6 +21,7 @@
     final List<Fake> endpoints = new ArrayList<>();
     final Fake discovery;
     final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    Path configFile;
     Sidecar sidecar;
     int idleCloseMs = 15_000;
     int askWithinMs = 600_000;
@@ -64,14 +65,8 @@
     }
 
     Rig start() throws IOException {
-        Path file = Files.createTempFile("config", ".json");
-        try {
-            Files.writeString(file, config());
-            sidecar = Sidecar.start(SidecarConfig.read(file),
-                new PrintStream(log, true, StandardCharsets.UTF_8));
-        } finally {
-            Files.delete(file);
-        }
+        configFile = Files.writeString(Files.createTempFile("config", ".json"), config());
+        sidecar = Sidecar.start(configFile, new PrintStream(log, true, StandardCharsets.UTF_8));
         return this;
     }
 
@@ -113,6 +108,7 @@
     public void close() throws IOException {
         if (sidecar != null) {
             sidecar.stop();
+            Files.delete(configFile);
         }
         for (Fake endpoint : endpoints) {
             endpoint.close();
