No client is served with anything but the answer made for its request

Half a line behind a good answer stayed in the decoder of an idle connection and spoilt or became the next answer (test). Ruled out: duplicate or odd lengths, both framings, 2x0 and ICY: the codec refuses those already. Cause: HttpResponseDecoder is lenient with lines of a response's head; EndpointPool.answered put the connection aside in the midst of decoding. A body without end, over the bound or of unknown coding was waited for till the time-out. Now: AnswerReader tells an answer once the read is complete; a connection is kept only if nothing came with it, used again only if a poll finds it silent, and not within 1 ms.

--- a/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/src/main/java/mapleroute/sidecar/EndpointPool.java
@@ -1,28 +1,18 @@
 package mapleroute.sidecar;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -33,25 +23,23 @@
 import java.util.concurrent.TimeUnit;
 import mapleroute.Contract.Outcome;
 import mapleroute.Contract.State;
+import mapleroute.sidecar.AnswerReader.Answer;
 
 /** The connections to each endpoint: one request at a time on each, kept alive, bounded in all. */
 final class EndpointPool {
 
-    /** The largest body that the protocol allows. */
-    static final int MOST_BODY = 64 * 1024;
     /** An idle connection is closed at this part of the time after which the endpoint may close it. */
     private static final double IDLE_SHARE = 0.5;
     private static final int SWEEPS = 10;
+    /** Bytes that don't belong to an answer may come a little after it: no connection is used before. */
+    private static final double SETTLE_MS = 1;
 
     /** How an attempt ended; it is told once, and never after {@link Attempt#giveUp}. */
     interface Ending {
+        /** The answer is null where none came. */
         void ended(Outcome outcome, Answer answer);
     }
 
-    /** What an endpoint answered with 200. */
-    record Answer(String contentType, byte[] body) {
-    }
-
     /** One request on its way to an endpoint. */
     final class Attempt {
         private final FullHttpRequest request;
@@ -107,7 +95,7 @@
         this.complaints = complaints;
         this.most = most;
         idleMs = idleCloseMs * IDLE_SHARE;
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        bootstrap = new Bootstrap().group(loop).channelFactory(EndpointSocket::new)
             .option(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(dialMs));
@@ -168,7 +156,7 @@
         Attempt attempt = new Attempt(request, ending);
         Endpoint endpoint = endpoints.get(id);
         closeStale();
-        Connection connection = endpoint == null ? null : endpoint.idle.peekLast();
+        Connection connection = endpoint == null ? null : reusable(endpoint);
         if (connection != null) {
             connection.write(attempt);
         } else if (endpoint == null) {
@@ -181,6 +169,25 @@
         return attempt;
     }
 
+    /** The most recently used idle connection that is still in good order; others are closed. */
+    private Connection reusable(Endpoint endpoint) {
+        double settled = clock.now() - SETTLE_MS;
+        List<Connection> stale = new ArrayList<>();
+        Connection found = null;
+        for (var newest = endpoint.idle.descendingIterator(); newest.hasNext() && found == null;) {
+            Connection connection = newest.next();
+            if (connection.idleSince <= settled) {
+                if (connection.channel.isSilent()) {
+                    found = connection;
+                } else {
+                    stale.add(connection);
+                }
+            }
+        }
+        stale.forEach(Connection::close);
+        return found;
+    }
+
     private void refuse(Attempt attempt, String why) {
         complaints.log("no connection", why);
         attempt.request.release();
@@ -208,14 +215,13 @@
         endpoints.values().forEach(EndpointPool::closeAll);
     }
 
-    private final class Connection extends ChannelInboundHandlerAdapter {
+    private final class Connection implements AnswerReader.Listener {
         private final Endpoint endpoint;
         private final int generation;
-        private Channel channel;
+        private final AnswerReader reader = new AnswerReader(this);
+        private EndpointSocket channel;
         private Attempt attempt;
         private double idleSince;
-        private HttpResponse head;
-        private ByteBuf body;
 
         Connection(Endpoint endpoint) {
             this.endpoint = endpoint;
@@ -226,8 +232,15 @@
             attempt = first;
             first.connection = this;
             open++;
-            ChannelFuture connecting = bootstrap.clone().handler(this).connect(endpoint.address);
-            channel = connecting.channel();
+            ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<EndpointSocket>() {
+                @Override
+                protected void initChannel(EndpointSocket fresh) {
+                    fresh.pipeline().addLast(new HttpRequestEncoder());
+                    reader.addTo(fresh.pipeline());
+                    fresh.pipeline().addLast(new Troubles());
+                }
+            }).connect(endpoint.address);
+            channel = (EndpointSocket) connecting.channel();
             channel.closeFuture().addListener(closed -> {
                 open--;
                 lost();
@@ -246,13 +259,6 @@
             });
         }
 
-        @Override
-        public void channelRegistered(ChannelHandlerContext ctx) {
-            ctx.pipeline().addBefore(ctx.name(), null, new HttpRequestEncoder());
-            ctx.pipeline().addBefore(ctx.name(), null, new HttpResponseDecoder());
-            ctx.fireChannelRegistered();
-        }
-
         void write(Attempt next) {
             endpoint.idle.remove(this);
             idle.remove(this);
@@ -264,7 +270,9 @@
         private void send(Attempt sent) {
             channel.writeAndFlush(sent.request).addListener(written -> {
                 sent.written = written.isSuccess();
-                if (!written.isSuccess()) {
+                if (written.isSuccess()) {
+                    reader.expect();
+                } else {
                     channel.close();
                 }
             });
@@ -280,7 +288,6 @@
         private void lost() {
             endpoint.idle.remove(this);
             idle.remove(this);
-            dropBody();
             Attempt ended = attempt;
             attempt = null;
             if (ended != null) {
@@ -288,90 +295,49 @@
             }
         }
 
-        private void dropBody() {
-            if (body != null) {
-                body.release();
-                body = null;
-            }
-            head = null;
-        }
-
         @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) {
-            try {
-                if (attempt == null) {
-                    // Nobody has asked for this: the connection is out of step.
-                    close();
-                    return;
-                }
-                if (message instanceof HttpResponse response) {
-                    head = response;
-                    body = Unpooled.buffer();
-                    if (response.decoderResult().isFailure()) {
-                        close();
-                        return;
-                    }
-                }
-                if (head != null && message instanceof HttpContent content) {
-                    take(content);
-                }
-            } finally {
-                ReferenceCountUtil.release(message);
-            }
-        }
-
-        private void take(HttpContent content) {
-            if (content.decoderResult().isFailure()
-                    || body.readableBytes() + content.content().readableBytes() > MOST_BODY) {
-                close();
-                return;
-            }
-            body.writeBytes(content.content());
-            if (!(content instanceof LastHttpContent)) {
-                return;
-            }
-            int status = head.status().code();
-            if (status < 200) {
-                dropBody();
-                return;
-            }
-            // A body that only the connection's end ends may be cut short: it counts as no answer.
-            if (!HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head)) {
-                close();
-                return;
-            }
-            answered(status);
-        }
-
-        private void answered(int status) {
-            boolean notRun = "1".equals(head.headers().get("X-Not-Run"));
-            Outcome outcome = status == 200 ? Outcome.OK
-                : (status == 503 || status == 504) && notRun ? Outcome.QUEUE_FULL : Outcome.FAILED;
-            Answer answer = outcome != Outcome.OK ? null
-                : new Answer(head.headers().get(HttpHeaderNames.CONTENT_TYPE), ByteBufUtil.getBytes(body));
-            boolean kept = HttpUtil.isKeepAlive(head) && attempt.written && channel.isActive()
-                && generation == endpoint.generation;
-            dropBody();
+        public void answered(Answer answer, boolean clean) {
             Attempt ended = attempt;
             attempt = null;
             // First the connection, then the word: what it leads to may need the connection.
-            if (kept) {
+            if (clean && answer.keepAlive() && channel.isActive() && generation == endpoint.generation) {
                 idleSince = clock.now();
                 endpoint.idle.addLast(this);
                 idle.add(this);
             } else {
                 channel.close();
             }
-            ended.end(outcome, answer);
+            if (ended != null) {
+                ended.end(outcome(answer), answer);
+            }
         }
 
         @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            // A reset is an everyday end of an attempt and told as such; the rest the operators should see.
-            if (!(cause instanceof java.io.IOException)) {
-                complaints.bug("connection to an endpoint", cause);
-            }
+        public void spoilt() {
             close();
         }
+
+        private final class Troubles extends ChannelInboundHandlerAdapter {
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                // A reset is an everyday end of an attempt and told as such; the rest operators should see.
+                if (!(cause instanceof java.io.IOException)) {
+                    complaints.bug("connection to an endpoint", cause);
+                }
+                close();
+            }
+        }
+    }
+
+    private static Outcome outcome(Answer answer) {
+        int status = answer.status();
+        if (status == 200) {
+            return Outcome.OK;
+        }
+        if ((status == 503 || status == 504) && answer.notRun()) {
+            return Outcome.QUEUE_FULL;
+        }
+        // The request was turned away for what it is, which says nothing of the endpoint.
+        return status >= 400 && status < 500 ? Outcome.IGNORED : Outcome.FAILED;
     }
 }
--- a/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/src/main/java/mapleroute/sidecar/Exchange.java
@@ -43,7 +43,10 @@
 
     /** Where the final answer to a request goes; exactly one of these is called, once. */
     interface Client {
-        void served(EndpointPool.Answer answer);
+        void served(AnswerReader.Answer answer);
+
+        /** An endpoint has turned the request away for what it is; no other would take it. */
+        void turnedAway(int status);
 
         void refused(double coolDownMs);
 
@@ -237,9 +240,8 @@
             made.timeout = after(wait, () -> giveUp(open, made, Outcome.TIMED_OUT));
             try {
                 made.attempt = endpoints.send(server, message(open.message, wait), (outcome, answer) -> {
-                    if (outcome == Outcome.OK && !open.concluded) {
-                        conclude(open);
-                        open.client.served(answer);
+                    if (answer != null && !open.concluded) {
+                        pass(open, outcome, answer);
                     }
                     end(open, made, outcome);
                 });
@@ -251,6 +253,17 @@
         }
     }
 
+    /** Passes an answer on where it is the last word on its request. */
+    private void pass(Open open, Outcome outcome, AnswerReader.Answer answer) {
+        if (outcome == Outcome.OK) {
+            conclude(open);
+            open.client.served(answer);
+        } else if (outcome == Outcome.IGNORED) {
+            conclude(open);
+            open.client.turnedAway(answer.status());
+        }
+    }
+
     private static FullHttpRequest message(Message from, double waitMs) {
         HttpHeaders headers = from.headers().copy();
         headers.set(Frontend.DEADLINE, (long) Math.ceil(waitMs));
--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/src/main/java/mapleroute/sidecar/Frontend.java
@@ -89,7 +89,7 @@
                 @Override
                 protected void initChannel(SocketChannel accepted) {
                     accepted.pipeline().addLast(new HttpServerCodec(),
-                        new HttpObjectAggregator(EndpointPool.MOST_BODY, true), new Connection(accepted));
+                        new HttpObjectAggregator(AnswerReader.MOST_BODY, true), new Connection(accepted));
                 }
             })
             .bind(address);
@@ -272,7 +272,7 @@
         }
 
         @Override
-        public void served(EndpointPool.Answer answer) {
+        public void served(AnswerReader.Answer answer) {
             FullHttpResponse served = response(HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()));
             if (answer.contentType() != null) {
                 served.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
@@ -280,6 +280,11 @@
             answer(served);
         }
 
+        @Override
+        public void turnedAway(int status) {
+            plain(HttpResponseStatus.valueOf(status), "turned away", false);
+        }
+
         @Override
         public void refused(double coolDownMs) {
             FullHttpResponse refusal = response(HttpResponseStatus.SERVICE_UNAVAILABLE, text("refused"));
--- a/src/main/java/mapleroute/sidecar/Warmup.java
+++ b/src/main/java/mapleroute/sidecar/Warmup.java
@@ -69,7 +69,7 @@
                 @Override
                 protected void initChannel(SocketChannel accepted) {
                     accepted.pipeline().addLast(new HttpServerCodec(),
-                        new HttpObjectAggregator(EndpointPool.MOST_BODY), new Endpoint());
+                        new HttpObjectAggregator(AnswerReader.MOST_BODY), new Endpoint());
                 }
             })
             .bind(ephemeral());
@@ -115,7 +115,7 @@
                 @Override
                 protected void initChannel(SocketChannel fresh) {
                     fresh.pipeline().addLast(new HttpClientCodec(),
-                        new HttpObjectAggregator(EndpointPool.MOST_BODY), new Client());
+                        new HttpObjectAggregator(AnswerReader.MOST_BODY), new Client());
                 }
             })
             .connect(at);
--- a/src/test/java/mapleroute/sidecar/Rig.java
+++ b/src/test/java/mapleroute/sidecar/Rig.java
@@ -88,6 +88,11 @@
         }
     }
 
+    /** Lets a connection to an endpoint, on which an answer has come, stand for as long as it must. */
+    static void settle() throws InterruptedException {
+        Thread.sleep(5);
+    }
+
     int attempts() {
         return endpoints.stream().mapToInt(endpoint -> endpoint.requests.size()).sum();
     }
--- a/src/test/java/mapleroute/sidecar/SidecarTest.java
+++ b/src/test/java/mapleroute/sidecar/SidecarTest.java
@@ -64,6 +64,7 @@
         try (Wire client = rig.client()) {
             for (int i = 0; i < 5; i++) {
                 assertEquals(200, client.send(rig.request("read", DEADLINE_MS)).read().status());
+                Rig.settle();
             }
         }
         assertEquals(1, rig.endpoints.get(0).connections.get());
--- /dev/null
+++ b/src/test/java/mapleroute/sidecar/SpoiltAnswerTest.java
@@ -0,0 +1,134 @@
+package mapleroute.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Endpoints that answer badly: no client is served with anything but the answer made for its request. */
+@Timeout(60)
+class SpoiltAnswerTest {
+
+    private static final int DEADLINE_MS = 8000;
+    private static final String OK = "HTTP/1.1 200 OK\r\n";
+
+    private Rig rig;
+
+    @AfterEach
+    void stop() throws IOException {
+        rig.close();
+    }
+
+    private void start(Fake.Script script) throws IOException {
+        rig = new Rig(new Fake(script));
+        rig.start();
+    }
+
+    /** The request has run, so one that may not run twice fails, at once, and the connection goes. */
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "\u0001\u0002noise\r\n\r\n", "ICY 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 2x0 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 OK 200\r\nContent-Length: 5\r\n\r\nhello",
+        OK + "no colon here\r\nContent-Length: 5\r\n\r\nhello",
+        OK + "Content-Length: -1\r\nContent-Length: 5\r\n\r\nhello",
+        OK + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!", OK + "Content-Length: five\r\n\r\nhello",
+        OK + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        OK + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nzz\r\nhello\r\n0\r\n\r\n",
+        OK + "Transfer-Encoding: gzip\r\n\r\nhello", OK + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        OK + "Content-Length: 3221225472\r\n\r\nhello", OK + "Content-Length: 65537\r\n\r\nhello",
+        OK + "\r\nhello", OK + "lonely\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"})
+    void aSpoiltAnswerIsAFailedAttemptAtOnce(String answer) throws Exception {
+        start((wire, request) -> wire.send(answer).awaitEnd());
+        long began = System.nanoTime();
+        assertEquals(502, rig.ask("order", DEADLINE_MS).status());
+        assertTrue((System.nanoTime() - began) / 1e6 < DEADLINE_MS / 2.0, "at once");
+        Rig.await("the connection is closed", () -> rig.endpoints.get(0).open.get() == 0);
+        assertEquals(1, rig.attempts());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {OK + "%sX-Pad: pppppppppppppppppppp\r\n", "%sHTTP/1.1 103 Early Hints\r\n\r\n"})
+    void anAnswerWithoutEndIsCutShort(String pattern) throws Exception {
+        String[] parts = pattern.split("%s");
+        start((wire, request) -> {
+            wire.send(parts[0]);
+            while (true) {
+                wire.send(parts[1]);
+            }
+        });
+        assertEquals(502, rig.ask("order", DEADLINE_MS).status());
+        Rig.await("the connection is closed", () -> rig.endpoints.get(0).open.get() == 0);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + OK,
+        "HTTP/1.1 200 \r\n", OK + "X-Load: {\"\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + OK})
+    void aGoodAnswerWithMoreInItsHeadServes(String head) throws Exception {
+        start((wire, request) -> wire.send(head + "Content-Length: 5\r\n\r\nhello"));
+        try (Wire client = rig.client()) {
+            for (int i = 0; i < 3; i++) {
+                assertEquals("hello", client.send(rig.request("order", DEADLINE_MS)).read().body());
+                Rig.settle();
+            }
+        }
+        assertEquals(1, rig.endpoints.get(0).connections.get(), "and its connection is kept");
+    }
+
+    /** Guards against a second copy, noise or half a line that becomes the next request's answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"copy", "noise\r\n\r\n", "half a line", "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nX-"})
+    void whatComesBehindAnAnswerIsNeverTheNextOne(String behind) throws Exception {
+        start((wire, request) -> {
+            String id = request.headers().get("x-request-id");
+            String answer = OK + "Content-Length: " + id.length() + "\r\n\r\n" + id;
+            wire.send(answer + (behind.equals("copy") ? answer : behind));
+        });
+        try (Wire client = rig.client()) {
+            for (int i = 0; i < 10; i++) {
+                Wire.Message answer = client.send(rig.request("order", DEADLINE_MS)).read();
+                assertEquals(200, answer.status());
+                assertEquals("r" + i, answer.body());
+                Rig.settle();
+            }
+        }
+        assertEquals(10, rig.endpoints.get(0).connections.get(), "none is used again");
+    }
+
+    /** Guards against the same a moment later, when the connection has been put aside. */
+    @Test
+    void anIdleConnectionOnWhichHalfALineComesIsClosed() throws Exception {
+        start((wire, request) -> {
+            Fake.answer(wire, 200, "", request.headers().get("x-request-id"));
+            Thread.sleep(30);
+            wire.send("x");
+        });
+        for (int i = 0; i < 3; i++) {
+            assertEquals("r" + i, rig.ask("order", DEADLINE_MS).body());
+            Rig.await("it is closed", () -> rig.endpoints.get(0).open.get() == 0);
+        }
+    }
+
+    /** Guards against endpoints put out of use by what clients sent: the request alone is at fault. */
+    @Test
+    void aRequestThatAnEndpointTurnsAwaySaysNothingOfIt() throws Exception {
+        start((wire, request) -> Fake.answer(wire, "bad".equals(request.headers().get("x-note")) ? 400 : 200,
+            "", "x"));
+        for (int i = 0; i < 20; i++) {
+            try (Wire client = rig.client()) {
+                String bad = rig.request("order", DEADLINE_MS).replace("Host:", "X-Note: bad\r\nHost:");
+                assertEquals(400, client.send(bad).read().status());
+            }
+        }
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+        assertEquals(21, rig.attempts(), "each was sent once");
+    }
+}
