Bad clients get an error or a close in time and harm nobody else

A probe of what clients send showed 816 connections that never say a word and lived until the client closed them (3.5 s), pipelines of 60 answered one by one, error answers after which the connection went on. The endpoints' 400 to bad clients' requests had counted against endpoints. Cause: no time limit in Frontend; the aggregator's 413 went past the order of answers and the rest was swallowed; auto-read stops only later reads; (sockets - 128) / 2 left 64 a side at 256. Now: ClientGuard limits the time to a whole request from its first byte (the first from the connect) and ends connections so that the last answer arrives; RequestReader refuses by the head; 8 requests ahead, then 429; ids, classes and deadlines told twice are 400; deadlines are bounded by the class; open files are counted, the rest split; connections that never asked make room first. A drain closes what holds no whole request and is bounded by the deadlines.

--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/src/main/java/mapleroute/sidecar/Frontend.java
@@ -6,10 +6,10 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -20,9 +20,9 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
@@ -36,19 +36,23 @@
 import java.util.Map;
 import java.util.Set;
 import mapleroute.Contract.Request;
+import mapleroute.Contract.RequestClass;
 import mapleroute.Contract.Settings;
 
-/** The listener for clients: parses requests, answers what is no request, writes the final answers. */
+/** The listener for clients: takes their requests, turns away what is none, writes the final answers. */
 final class Frontend {
 
     static final String DEADLINE = "X-Deadline-Ms";
     private static final String ID = "X-Request-Id";
     private static final int BACKLOG = 1024;
     /** Requests that a client may send ahead of their answers on one connection. */
-    private static final int MOST_AHEAD = 16;
+    private static final int MOST_AHEAD = 8;
     /** Connections above the bound that are still taken in, to refuse what they ask in good order. */
-    private static final int OVERFLOW = 48;
+    static final int OVERFLOW = 16;
     private static final double OVERFLOW_COOL_DOWN_MS = 1000;
+    /** What a request is told by, which must not be open to two readings. */
+    private static final List<String> ONCE_ONLY = List.of(ID, DEADLINE, "X-Class", "X-Tenant",
+        "Idempotency-Key");
     /** Headers that concern one connection only. */
     private static final List<CharSequence> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
         HttpHeaderNames.PROXY_CONNECTION, "keep-alive", HttpHeaderNames.TE, HttpHeaderNames.TRAILER,
@@ -61,7 +65,10 @@
     private final int most;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
+    private final List<RequestClass> kinds;
     private final Set<Connection> connections = new LinkedHashSet<>();
+    /** Those that have asked for nothing yet or have had their last answer, the oldest first. */
+    private final Set<Connection> expendable = new LinkedHashSet<>();
     /** Those with no request in hand, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
     private Channel listener;
@@ -75,7 +82,8 @@
         this.complaints = complaints;
         this.exchange = exchange;
         this.most = most;
-        settings.classes().forEach(kind -> classes.put(kind.name(), classes.size()));
+        kinds = settings.classes();
+        kinds.forEach(kind -> classes.put(kind.name(), classes.size()));
         settings.tenants().forEach(tenant -> tenants.put(tenant.name(), tenants.size()));
     }
 
@@ -88,8 +96,7 @@
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel accepted) {
-                    accepted.pipeline().addLast(new HttpServerCodec(),
-                        new HttpObjectAggregator(AnswerReader.MOST_BODY, true), new Connection(accepted));
+                    new Connection(accepted).addTo(accepted.pipeline());
                 }
             })
             .bind(address);
@@ -110,8 +117,10 @@
     /** Takes in no more, and lets go of the connections that wait for no answer. */
     void close() {
         listener.close();
-        for (Connection connection : List.copyOf(idle)) {
-            connection.channel.close();
+        for (Connection connection : List.copyOf(connections)) {
+            if (connection.replies.isEmpty() && !connection.ending) {
+                connection.channel.close();
+            }
         }
     }
 
@@ -119,10 +128,22 @@
         return connections.isEmpty();
     }
 
-    private void mindRoom() {
-        if (connections.size() > most && !idle.isEmpty()) {
-            idle.iterator().next().channel.close();
+    /** Makes room for a new connection, if there is none; first those go that never asked for anything. */
+    private boolean makeRoom() {
+        while (connections.size() > most) {
+            Set<Connection> first = expendable.isEmpty() ? idle : expendable;
+            if (first.isEmpty()) {
+                return false;
+            }
+            Connection gone = first.iterator().next();
+            first.remove(gone);
+            connections.remove(gone);
+            gone.channel.close();
         }
+        return true;
+    }
+
+    private void mindAccepting() {
         boolean room = connections.size() < most + OVERFLOW;
         if (!room) {
             complaints.log("no more connections are taken in", connections.size() + " are open");
@@ -130,58 +151,84 @@
         listener.config().setAutoRead(room);
     }
 
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private final Channel channel;
+    private final class Connection extends SimpleChannelInboundHandler<Object> {
+        private final SocketChannel channel;
+        private final ClientGuard guard;
+        private final RequestReader reader = new RequestReader();
         /** In the order of the requests, which is the order that HTTP asks answers to be in. */
         private final Deque<Reply> replies = new ArrayDeque<>();
+        /** There was no room for it: it is told to come back later. */
+        private boolean surplus;
+        private boolean hasAsked;
+        /** The last answer is on its way. */
+        private boolean ending;
 
-        Connection(Channel channel) {
+        Connection(SocketChannel channel) {
             this.channel = channel;
+            guard = new ClientGuard(channel);
+        }
+
+        void addTo(ChannelPipeline pipeline) {
+            pipeline.addLast(guard, new HttpRequestDecoder(), new HttpResponseEncoder(), reader, this);
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             connections.add(this);
-            mindRoom();
-            idle.add(this);
+            surplus = !makeRoom();
+            expendable.add(this);
+            mindAccepting();
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
+            expendable.remove(this);
             idle.remove(this);
-            mindRoom();
-            for (Reply reply : List.copyOf(replies)) {
-                if (reply.id != null && reply.response == null) {
-                    exchange.clientGone(reply.id);
-                }
-            }
-            replies.clear();
+            mindAccepting();
+            drop();
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+        protected void channelRead0(ChannelHandlerContext ctx, Object message) {
             Reply reply = new Reply(this);
             replies.add(reply);
+            expendable.remove(this);
             idle.remove(this);
-            channel.config().setAutoRead(replies.size() < MOST_AHEAD);
-            if (request.decoderResult().isFailure()) {
-                reply.plain(HttpResponseStatus.BAD_REQUEST, "malformed request", false);
-                return;
+            guard.requestTaken();
+            mindReading();
+            if (message instanceof RequestReader.Refusal refusal) {
+                reply.giveUp(refusal.status(), refusal.why());
+            } else if (replies.size() > MOST_AHEAD) {
+                reply.giveUp(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests ahead of answers");
+            } else {
+                take(reply, (FullHttpRequest) message);
             }
+        }
+
+        private void take(Reply reply, FullHttpRequest request) {
             reply.keepAlive = HttpUtil.isKeepAlive(request);
             int query = request.uri().indexOf('?');
             switch (query < 0 ? request.uri() : request.uri().substring(0, query)) {
                 case "/api" -> api(reply, request);
                 case "/health/ready" -> ready(reply);
-                default -> reply.plain(HttpResponseStatus.NOT_FOUND, "unknown path", true);
+                default -> reply.plain(HttpResponseStatus.NOT_FOUND, "unknown path");
             }
         }
 
+        private void mindReading() {
+            channel.config().setAutoRead(ending || replies.size() < MOST_AHEAD && channel.isWritable());
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            mindReading();
+        }
+
         private void ready(Reply reply) {
             boolean ready = warm && !draining && exchange.knowsEndpoints();
             reply.plain(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                ready ? "ready" : draining ? "draining" : warm ? "no endpoint is known" : "starting", true);
+                ready ? "ready" : draining ? "draining" : warm ? "no endpoint is known" : "starting");
         }
 
         private void api(Reply reply, FullHttpRequest request) {
@@ -190,25 +237,30 @@
             Integer kind = classes.get(headers.get("X-Class", ""));
             Integer tenant = tenants.isEmpty() ? Integer.valueOf(0)
                 : tenants.get(headers.get("X-Tenant", ""));
-            long deadline = deadline(headers.get(DEADLINE, ""));
+            double deadline = deadline(headers.get(DEADLINE, ""));
             if (!request.method().equals(HttpMethod.GET) && !request.method().equals(HttpMethod.POST)) {
-                reply.plain(HttpResponseStatus.METHOD_NOT_ALLOWED, "only GET and POST are served", true);
+                reply.giveUp(HttpResponseStatus.METHOD_NOT_ALLOWED, "only GET and POST are served");
             } else if (id == null || id.isEmpty()) {
-                reply.plain(HttpResponseStatus.BAD_REQUEST, ID + " is missing", true);
+                reply.giveUp(HttpResponseStatus.BAD_REQUEST, ID + " is missing");
+            } else if (ONCE_ONLY.stream().anyMatch(name -> headers.getAll(name).size() > 1)) {
+                reply.giveUp(HttpResponseStatus.BAD_REQUEST, "one of " + ONCE_ONLY + " is repeated");
             } else if (kind == null) {
-                reply.plain(HttpResponseStatus.BAD_REQUEST, "X-Class is missing or unknown", true);
+                reply.giveUp(HttpResponseStatus.BAD_REQUEST, "X-Class is missing or unknown");
             } else if (tenant == null) {
-                reply.plain(HttpResponseStatus.BAD_REQUEST, "X-Tenant is missing or unknown", true);
+                reply.giveUp(HttpResponseStatus.BAD_REQUEST, "X-Tenant is missing or unknown");
             } else if (deadline < 0) {
-                reply.plain(HttpResponseStatus.BAD_REQUEST, DEADLINE + " is no whole number", true);
+                reply.giveUp(HttpResponseStatus.BAD_REQUEST, DEADLINE + " is no whole number");
             } else if (exchange.has(id)) {
-                reply.plain(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand", true);
-            } else if (connections.size() > most) {
+                reply.giveUp(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand");
+            } else if (surplus) {
                 reply.keepAlive = false;
                 reply.refused(OVERFLOW_COOL_DOWN_MS);
             } else {
                 reply.id = id;
-                exchange.request(new Request(id, kind, tenant, clock.now() + deadline,
+                hasAsked = true;
+                // No client waits longer than its class may take, whatever it says.
+                double left = Math.min(deadline, kinds.get(kind).deadlineMs());
+                exchange.request(new Request(id, kind, tenant, clock.now() + left,
                     "1".equals(headers.get("X-Retry"))), message(request), reply);
             }
         }
@@ -225,21 +277,39 @@
 
         /** Writes the answers that are there, as far as none before them is missing. */
         private void flush() {
-            while (!replies.isEmpty() && replies.peek().response != null) {
+            while (!ending && !replies.isEmpty() && replies.peek().response != null) {
                 Reply reply = replies.poll();
-                boolean last = draining || !reply.keepAlive;
-                if (last) {
+                ending = !reply.keepAlive || draining && replies.isEmpty();
+                if (ending) {
                     reply.response.headers().set(HttpHeaderNames.CONNECTION, "close");
                 }
                 ChannelFuture written = channel.writeAndFlush(reply.response);
-                if (last) {
-                    written.addListener(ChannelFutureListener.CLOSE);
+                if (ending) {
+                    reader.stop();
+                    guard.endAfter(written);
                 }
             }
-            if (replies.isEmpty() && connections.contains(this)) {
-                idle.add(this);
+            if (ending) {
+                drop();
+            } else if (replies.isEmpty() && connections.contains(this)) {
+                (hasAsked ? idle : expendable).add(this);
+                guard.answered();
+            }
+            mindReading();
+        }
+
+        /** The connection says no more: what else was asked on it has nobody to answer to. */
+        private void drop() {
+            List<Reply> left = List.copyOf(replies);
+            replies.clear();
+            if (connections.contains(this)) {
+                expendable.add(this);
+            }
+            for (Reply reply : left) {
+                if (reply.id != null && reply.response == null) {
+                    exchange.clientGone(reply.id);
+                }
             }
-            channel.config().setAutoRead(replies.size() < MOST_AHEAD);
         }
 
         @Override
@@ -282,7 +352,7 @@
 
         @Override
         public void turnedAway(int status) {
-            plain(HttpResponseStatus.valueOf(status), "turned away", false);
+            giveUp(HttpResponseStatus.valueOf(status), "turned away");
         }
 
         @Override
@@ -300,11 +370,18 @@
             answer(response(HttpResponseStatus.BAD_GATEWAY, text("failed")));
         }
 
-        void plain(HttpResponseStatus status, String why, boolean keep) {
-            keepAlive &= keep;
+        void plain(HttpResponseStatus status, String why) {
             answer(response(status, text(why)));
         }
 
+        /** Answers what is no request; nothing more is heard from who sends such. */
+        void giveUp(HttpResponseStatus status, String why) {
+            keepAlive = false;
+            connection.reader.stop();
+            connection.guard.goDeaf();
+            plain(status, why);
+        }
+
         private void answer(FullHttpResponse made) {
             response = made;
             connection.flush();
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -6,23 +6,29 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.File;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import mapleroute.Contract.RequestClass;
 
 /** One real sidecar: its parts on one event loop, which is the only thread that touches any of them. */
 public final class Sidecar {
 
     /** One small arena: messages are of a few hundred bytes, and memory is tight. */
     static final ByteBufAllocator BUFFERS = new PooledByteBufAllocator(true, 1, 1, 8192, 4, 0, 0, false);
-    /** Descriptors for all that is no connection: files, selectors, the listener, discovery. */
-    private static final int SPARE_SOCKETS = 128;
+    /** Descriptors beyond those that the JVM holds from its start: warm-up, discovery, a round of accepts. */
+    private static final int SPARE_SOCKETS = 32;
+    /** What the JVM holds open where the system does not tell. */
+    private static final int USUAL_FILES = 32;
+    private static final int LEAST_CONNECTIONS = 8;
     /** New connections still come for a while after SIGTERM: until then the listener stays open. */
     private static final int LINGER_MS = 600;
     private static final int EMPTY_POLL_MS = 10;
+    private static final int DRAIN_SLACK_MS = 100;
 
     private final Path file;
     private final PrintStream log;
@@ -31,6 +37,7 @@
     private Frontend frontend;
     private DiscoveryClient discovery;
     private InetSocketAddress address;
+    private long mostDeadlineMs;
     private Exchange exchange;
 
     private Sidecar(Path file, PrintStream log) {
@@ -62,15 +69,24 @@
     }
 
     private void build(SidecarConfig config) {
+        for (RequestClass kind : config.settings().classes()) {
+            mostDeadlineMs = Math.max(mostDeadlineMs, (long) kind.deadlineMs());
+        }
         Clock clock = new Clock();
         Complaints complaints = new Complaints(clock, log);
-        int half = Math.max(8, (config.sockets() - SPARE_SOCKETS) / 2);
+        int half = Math.max(LEAST_CONNECTIONS, (config.sockets() - openFiles() - SPARE_SOCKETS) / 2);
         EndpointPool endpoints = new EndpointPool(loop, clock, complaints,
             config.settings().limits().connectTimeoutMs(), config.idleCloseMs(), half);
         discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints);
         exchange = new Exchange(loop, clock, complaints, endpoints, discovery::watch, config);
         discovery.listen(exchange, config.known().version());
-        frontend = new Frontend(loop, clock, complaints, exchange, config.settings(), half);
+        frontend = new Frontend(loop, clock, complaints, exchange, config.settings(),
+            Math.max(LEAST_CONNECTIONS, half - Frontend.OVERFLOW));
+    }
+
+    private static int openFiles() {
+        String[] names = new File("/proc/self/fd").list();
+        return names == null ? USUAL_FILES : names.length;
     }
 
     private void warm(SidecarConfig config) {
@@ -108,7 +124,8 @@
             }
         }, LINGER_MS, EMPTY_POLL_MS, TimeUnit.MILLISECONDS);
         try {
-            empty.await();
+            // Every request has had its answer by its deadline; who does not take it is not waited for.
+            empty.await(LINGER_MS + mostDeadlineMs + DRAIN_SLACK_MS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
