Nothing of an endpoint sticks to the one that takes its id or its place

Seen by reading: Decide kept one object for an id whose process was replaced, so that ends of calls to the former process (resets, time-outs) put the new one on trial and counted as in flight there; two ids at one address were both sent to, so calls meant for a process that is gone came to the cold one at its address. Now: a new start time is a new target, whose forerunner's calls only free what they held; an address belongs to the endpoint that started last.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -149,6 +149,7 @@
         final String id;
         final long hash;
         Contract.Server listed;
+        boolean forgotten;
         /** Bits of the slots in the pool, and the next slot outside it, if it may have one. */
         long held;
         Slot spare;
@@ -331,6 +332,11 @@
         return calls.size();
     }
 
+    /** How many servers are known, gone ones with calls still out there among them. */
+    int knownServers() {
+        return targets.size();
+    }
+
     // ---- a request comes: taken or turned away ----
 
     @Override
@@ -764,6 +770,9 @@
         slot.busy = false;
         target.inFlight--;
         inFlight--;
+        if (target.forgotten) {
+            return;
+        }
         boolean alive = learnConnection(slot, outcome);
         if (alive) {
             drop(slot);
@@ -783,7 +792,7 @@
         }
         if (slot.discarded && target.held == 0 && target.inFlight == 0) {
             host.disconnect(target.id);
-            forgetGone(target);
+            forgetGone(now, target);
         }
     }
 
@@ -886,7 +895,7 @@
             target.spare = null;
         }
         int most = target.onTrial || warmth(now, target) < 1 ? 1 : SLOTS_PER_SERVER;
-        if (target.listed.state() != State.READY || now < target.pausedUntil
+        if (target.forgotten || target.listed.state() != State.READY || now < target.pausedUntil
                 || Long.bitCount(target.held) >= most || target.onTrial && target.inFlight > 0) {
             return;
         }
@@ -1136,23 +1145,21 @@
             target = new Target(entry);
             targets.put(entry.id(), target);
         } else if (entry.startedMs() != target.listed.startedMs()) {
-            // A new process: what its forerunner did no longer counts, and it is cold.
-            heal(target);
-            keepOneSlot(target);
+            // A new process: nothing of its forerunner counts, not even how the calls still out there end.
+            dropAll(target);
+            forget(now, target);
+            target = new Target(entry);
+            targets.put(entry.id(), target);
         }
         target.listed = entry;
         if (warmth(now, target) < 1 && !cold.contains(target)) {
             cold.add(target);
         }
         if (entry.state() != State.READY) {
-            for (int i = pool.size() - 1; i >= 0; i--) {
-                if (pool.get(i).target == target) {
-                    drop(pool.get(i));
-                }
-            }
+            dropAll(target);
         }
         reprice(now, target, true);
-        forgetGone(target);
+        forgetGone(now, target);
     }
 
     private void heal(Target target) {
@@ -1167,27 +1174,30 @@
         target.answerGapMs = 0;
     }
 
-    private void keepOneSlot(Target target) {
-        boolean kept = false;
+    private void dropAll(Target target) {
         for (int i = pool.size() - 1; i >= 0; i--) {
             if (pool.get(i).target == target) {
-                if (kept) {
-                    drop(pool.get(i));
-                }
-                kept = true;
+                drop(pool.get(i));
             }
         }
     }
 
-    private void forgetGone(Target target) {
+    private void forgetGone(double now, Target target) {
         if (target.listed.state() == State.GONE && target.inFlight == 0) {
-            heal(target);
-            targets.remove(target.id);
-            paused.remove(target);
-            cold.remove(target);
+            forget(now, target);
         }
     }
 
+    /** From here on the server is none of this balancer's; ends of calls there only free what they held. */
+    private void forget(double now, Target target) {
+        heal(target);
+        target.forgotten = true;
+        offer(now, target);
+        targets.remove(target.id);
+        paused.remove(target);
+        cold.remove(target);
+    }
+
     // ---- asking for the list ----
 
     /** Asks at a random time: balancers that start or fail together must not ask together. */
--- a/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/src/main/java/mapleroute/sidecar/EndpointPool.java
@@ -70,6 +70,7 @@
     }
 
     private static final class Endpoint {
+        /** Null once another endpoint has taken its place. */
         InetSocketAddress address;
         double startedMs;
         /** The most recently used last. */
@@ -127,9 +128,29 @@
             }
             endpoint.address = entry.address();
             endpoint.startedMs = entry.server().startedMs();
+            settleAddress(endpoint);
         }
     }
 
+    /** At one address there is one process: what was there before it is not there any more. */
+    private void settleAddress(Endpoint told) {
+        for (Endpoint other : endpoints.values()) {
+            if (other != told && told.address.equals(other.address)) {
+                Endpoint former = told.startedMs < other.startedMs ? told : other;
+                retire(former);
+                former.address = null;
+                if (former == told) {
+                    return;
+                }
+            }
+        }
+    }
+
+    /** How many endpoints are known. */
+    int size() {
+        return endpoints.size();
+    }
+
     private static void retire(Endpoint endpoint) {
         if (endpoint != null) {
             endpoint.generation++;
@@ -159,7 +180,7 @@
         Connection connection = endpoint == null ? null : reusable(endpoint);
         if (connection != null) {
             connection.write(attempt);
-        } else if (endpoint == null) {
+        } else if (endpoint == null || endpoint.address == null) {
             refuse(attempt, "no address is known of " + id);
         } else if (open >= most && !closeLongestIdle()) {
             refuse(attempt, "all " + most + " connections to endpoints are busy");
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -11,6 +11,7 @@
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import mapleroute.Contract.RequestClass;
@@ -36,6 +37,7 @@
     private final EventLoop loop;
     private Frontend frontend;
     private DiscoveryClient discovery;
+    private EndpointPool endpoints;
     private InetSocketAddress address;
     private long mostDeadlineMs;
     private Exchange exchange;
@@ -75,7 +77,7 @@
         Clock clock = new Clock();
         Complaints complaints = new Complaints(clock, log);
         int half = Math.max(LEAST_CONNECTIONS, (config.sockets() - openFiles() - SPARE_SOCKETS) / 2);
-        EndpointPool endpoints = new EndpointPool(loop, clock, complaints,
+        endpoints = new EndpointPool(loop, clock, complaints,
             config.settings().limits().connectTimeoutMs(), config.idleCloseMs(), half);
         discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints);
         exchange = new Exchange(loop, clock, complaints, endpoints, discovery::watch, config);
@@ -132,6 +134,15 @@
         stop();
     }
 
+    /** What its tables hold: open requests and known endpoints; to be asked on the event loop. */
+    List<Integer> tableSizes() {
+        return List.of(exchange.openRequests(), endpoints.size());
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
     /** Where clients connect. */
     InetSocketAddress address() {
         return address;
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/src/test/java/mapleroute/DecideTest.java
@@ -606,6 +606,38 @@
         assertTrue(atOnce <= 1, "at once " + atOnce);
     }
 
+    /** Guards against a new process held to account for its forerunner's calls, which end with that one. */
+    @Test
+    void aNewProcessUnderAnOldIdStartsWithACleanSheet() {
+        Fixture f = Fixture.of(1, 0, 0).list(Fixture.servers(1));
+        f.request(Fixture.ONCE);
+        f.request(Fixture.ONCE);
+        List<Recorder.Sent> old = List.copyOf(f.host.sent);
+        f.change(Fixture.server("s0", 0, f.now - 60_000, State.READY));
+        old.forEach(sent -> f.finish(sent, Outcome.RESET, 5));
+        f.request(Fixture.ONCE);
+        assertEquals(3, f.host.sent.size(), "it is neither on trial nor paused");
+        assertEquals(1, f.balancer.knownServers());
+        assertEquals(1, f.balancer.openCalls());
+    }
+
+    /** Guards against memory that grows with each server that comes and goes, also with calls still out. */
+    @Test
+    void nothingIsKeptOfServersThatAreGone() {
+        Fixture f = Fixture.of(2, 0, 0);
+        for (int i = 0; i < 5000; i++) {
+            f.change(Fixture.server("s" + i, 0, f.now, State.READY));
+            f.request(Fixture.REPEATABLE);
+            f.change(Fixture.server("s" + i, 0, f.now, State.GONE));
+            while (f.balancer.openCalls() > 0) {
+                f.finish(f.host.last(), Outcome.RESET, 1);
+            }
+            f.now += 50;
+        }
+        assertEquals(0, f.balancer.knownServers());
+        assertEquals(0, f.balancer.openCalls());
+    }
+
     /** Guards against a crowded or slow server that keeps its callers because it is their lowest rank. */
     @Test
     void aServerThatAnswersSlowlyGivesUpEvenItsLowestRanks() {
