--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/src/main/java/mapleroute/sidecar/Frontend.java
@@ -74,6 +74,8 @@
     private Channel listener;
     private boolean warm;
     private boolean draining;
+    private boolean finishing;
+    private double endsAt = Double.POSITIVE_INFINITY;
 
     Frontend(EventLoop loop, Clock clock, Complaints complaints, Exchange exchange, Settings settings,
             int most) {
@@ -109,14 +111,19 @@
         warm = true;
     }
 
-    /** From now on each answer is the last on its connection. */
-    void drain() {
+    /** Goes on, but takes no request that might not be answered by then, and is not ready for more. */
+    void drain(double leftMs) {
         draining = true;
+        endsAt = clock.now() + leftMs;
     }
 
-    /** Takes in no more, and lets go of the connections that wait for no answer. */
-    void close() {
+    void closeListener() {
         listener.close();
+    }
+
+    /** From now on each answer is the last on its connection; those that wait for none are let go. */
+    void finish() {
+        finishing = true;
         for (Connection connection : List.copyOf(connections)) {
             if (connection.replies.isEmpty() && !connection.ending) {
                 connection.channel.close();
@@ -124,6 +131,12 @@
         }
     }
 
+    /** Takes in no more, and lets go of the connections that wait for no answer. */
+    void close() {
+        closeListener();
+        finish();
+    }
+
     boolean isEmpty() {
         return connections.isEmpty();
     }
@@ -259,8 +272,8 @@
                 reply.id = id;
                 hasAsked = true;
                 // No client waits longer than its class may take, whatever it says.
-                double left = Math.min(deadline, kinds.get(kind).deadlineMs());
-                exchange.request(new Request(id, kind, tenant, clock.now() + left,
+                double until = clock.now() + Math.min(deadline, kinds.get(kind).deadlineMs());
+                exchange.request(new Request(id, kind, tenant, Math.min(until, endsAt),
                     "1".equals(headers.get("X-Retry"))), message(request), reply);
             }
         }
@@ -279,7 +292,7 @@
         private void flush() {
             while (!ending && !replies.isEmpty() && replies.peek().response != null) {
                 Reply reply = replies.poll();
-                ending = !reply.keepAlive || draining && replies.isEmpty();
+                ending = !reply.keepAlive || finishing && replies.isEmpty();
                 if (ending) {
                     reply.response.headers().set(HttpHeaderNames.CONNECTION, "close");
                 }
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -29,7 +29,12 @@
     /** New connections still come for a while after SIGTERM: until then the listener stays open. */
     private static final int LINGER_MS = 600;
     private static final int EMPTY_POLL_MS = 10;
-    private static final int DRAIN_SLACK_MS = 100;
+    /** SIGKILL comes no sooner after SIGTERM than the longest deadline, or this, and the slack more. */
+    private static final int MOST_WAIT_MS = 3000;
+    private static final int KILL_SLACK_MS = 700;
+    /** The last of that time belongs to what is in hand, and the very last to a busy machine. */
+    private static final int FINISH_MS = 700;
+    private static final int DRAIN_SLACK_MS = 300;
 
     private final Path file;
     private final PrintStream log;
@@ -115,22 +120,33 @@
         });
     }
 
-    /** Answers all that is in hand and still comes in, then returns; the sidecar has nothing left to do. */
+    /**
+     * Answers all that is in hand and still comes in, then returns; the sidecar has nothing left to do. While
+     * there is time clients go on using the connections that they have: where the others that could serve
+     * them are still starting, they would find nobody.
+     */
     public void drain() {
+        log.println("mapleroute: draining");
         CountDownLatch empty = new CountDownLatch(1);
-        loop.execute(frontend::drain);
-        loop.schedule(frontend::close, LINGER_MS, TimeUnit.MILLISECONDS);
+        long killedAfterMs = Math.min(mostDeadlineMs, MOST_WAIT_MS) + KILL_SLACK_MS;
+        long endMs = killedAfterMs - DRAIN_SLACK_MS;
+        long lastCallMs = Math.max(LINGER_MS, endMs - FINISH_MS);
+        loop.execute(() -> frontend.drain(endMs));
+        loop.schedule(frontend::closeListener, LINGER_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(frontend::finish, lastCallMs, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(() -> {
-            if (frontend.isEmpty() && exchange.openRequests() == 0) {
+            if (frontend.isEmpty()) {
                 empty.countDown();
             }
         }, LINGER_MS, EMPTY_POLL_MS, TimeUnit.MILLISECONDS);
         try {
-            // Every request has had its answer by its deadline; who does not take it is not waited for.
-            empty.await(LINGER_MS + mostDeadlineMs + DRAIN_SLACK_MS, TimeUnit.MILLISECONDS);
+            // Every request has had its answer by then; who does not take it is not waited for.
+            empty.await(endMs + DRAIN_SLACK_MS / 2, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        log.println(empty.getCount() == 0 ? "mapleroute: drained"
+            : "mapleroute: not all connections were empty in time");
         stop();
     }
 
--- a/src/main/java/mapleroute/sidecar/Warmup.java
+++ b/src/main/java/mapleroute/sidecar/Warmup.java
@@ -41,7 +41,7 @@
 final class Warmup {
 
     /** Enough for the compiler to have taken up what every request runs through. */
-    private static final int ROUNDS = 400;
+    private static final int ROUNDS = 25;
     /** A busy machine must not keep a sidecar from starting. */
     private static final int MOST_MS = 3000;
 
