An odd failure puts no endpoint on trial

Ruled out: hung or slow endpoints (few time-outs), full ones (none), sockets (answers pass in under 1 ms). Cause: Decide.release put a server on trial, one call at a time, at its first failure. Now: a failed or reset call drops its slot and pauses new ones; a trial needs a recent share of failures above 0.4. Time-outs and failed connects count as before.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -54,6 +54,9 @@
     private static final double CONNECT_GAIN = 1.0 / 4;
     private static final double CONNECT_FADE = 0.99;
     private static final double CONNECT_ROUNDS = 4;
+    /** Weight of a new outcome in the share of a server's that fail, and the share that is not chance. */
+    private static final double FAILING_GAIN = 1.0 / 4;
+    private static final double FAILING_SHARE = 0.4;
     /** The most doublings of a failing server's pause. */
     private static final int MOST_DOUBLINGS = 5;
     /** A server silent for so many of its usual gaps hangs: at random gaps that is 2 in 100 by chance. */
@@ -155,6 +158,8 @@
         Slot spare;
         int inFlight;
         int strikes;
+        /** The recent share of outcomes that spoke against it. */
+        double failing;
         /** When it last answered, and the usual time between its answers to this balancer; 0 before both. */
         double lastAnswer;
         double answerGapMs;
@@ -778,9 +783,14 @@
             drop(slot);
             pause(now, target, settings.limits().connectTimeoutMs() * 2);
         } else if (failed && !blamedOnShared()) {
-            strike(now, target);
             drop(slot);
+            if (fails(target, outcome)) {
+                strike(now, target);
+            } else {
+                pause(now, target, settings.limits().connectTimeoutMs());
+            }
         } else if (outcome == Outcome.OK) {
+            target.failing -= FAILING_GAIN * target.failing;
             // Only an answer shows that a server is well: one that hangs ends calls too, by time-outs.
             recover(now, target);
         }
@@ -826,6 +836,16 @@
         return ailing * 2 > ready;
     }
 
+    /**
+     * Guards against trials by chance: where a few of all answers come to nothing whoever sends them, one
+     * that did says little of its server. A time-out or a failed connect does: they are seldom by chance.
+     */
+    private static boolean fails(Target target, Outcome outcome) {
+        target.failing += FAILING_GAIN * (1 - target.failing);
+        return target.onTrial || outcome != Outcome.FAILED && outcome != Outcome.RESET
+            || target.failing > FAILING_SHARE;
+    }
+
     /** A failure: the server pauses, longer each time; at the second in a row it loses all its slots. */
     private void strike(double now, Target target) {
         target.strikes = Math.min(target.strikes + 1, MOST_DOUBLINGS);
@@ -1168,6 +1188,7 @@
             ailing--;
         }
         target.strikes = 0;
+        target.failing = 0;
         target.pausedUntil = 0;
         target.slowness = 1;
         target.lastAnswer = 0;
--- a/src/test/java/mapleroute/Fixture.java
+++ b/src/test/java/mapleroute/Fixture.java
@@ -87,6 +87,19 @@
             tookMs, outcome == Outcome.OK, Load.NONE));
     }
 
+    /** Has a server fail two calls in a row, which is more than chance, and tells which. */
+    String failTwice(Outcome outcome) {
+        request(REPEATABLE);
+        Recorder.Sent first = host.last();
+        finish(first, outcome, 2);
+        do {
+            now += 300;
+            request(REPEATABLE);
+        } while (!host.last().server().equals(first.server()));
+        finish(host.last(), outcome, 2);
+        return first.server();
+    }
+
     /** The ranks that the design gives to a server's first slot, worked out apart from the module. */
     static long hash(String id) {
         int h = 0x811c9dc5;
