--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -786,9 +786,8 @@
             drop(slot);
             if (fails(target, outcome)) {
                 strike(now, target);
-            } else {
-                pause(now, target, settings.limits().connectTimeoutMs());
             }
+            offer(now, target);
         } else if (outcome == Outcome.OK) {
             target.failing -= FAILING_GAIN * target.failing;
             // Only an answer shows that a server is well: one that hangs ends calls too, by time-outs.
