A call lost by a server that answers others is no sign of crowding

Now a time-out at a server that has answered since the call was sent counts as that server's recent answers do; locality still sees it in full.

Also seen: processor time was checked by half seconds from outside: the full share is taken in the first two seconds only (start and warm-up), 0.03 to 0.2 after.

LostCallsTest fails without the change (limit down to the point of a refusal), twice of two, and passes with it. Open, seen on the same plays: the other balancer leaves both endpoints alone on trial for 10 s after they are well.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -163,6 +163,8 @@
         /** When it last answered, and the usual time between its answers to this balancer; 0 before both. */
         double lastAnswer;
         double answerGapMs;
+        /** How crowded it is by its answers of late, in the measure of the pressure. */
+        double crowding;
         double pausedUntil;
         /** A connect has failed, though other connections stand, and nothing was answered since. */
         boolean connectFailed;
@@ -180,7 +182,8 @@
             this.hash = mix(id);
         }
 
-        void answered(double now) {
+        void answered(double now, double ratio) {
+            crowding += FAILING_GAIN * (ratio - crowding);
             if (lastAnswer > 0) {
                 double gap = now - lastAnswer;
                 answerGapMs += (answerGapMs == 0 ? 1 : SERVER_GAIN) * (gap - answerGapMs);
@@ -423,12 +426,18 @@
         return true;
     }
 
-    /** Moves the limit by an outcome: down while answers take too much of the aim, else slowly up. */
-    private void judgeCrowding(double now, Call call, Target target, Finished finished) {
+    /**
+     * Moves the limit by an outcome: down while answers take too much of the aim, else slowly up.
+     *
+     * <p>Guards against a limit that lost calls take down: where a server has answered others since, a call
+     * left without an answer tells no more of crowding than those answers do. Also covers answers lost on the
+     * way, stuck workers, and odd calls of vast work. May do harm where a crowded server lets short calls pass
+     * long ones: then the limit falls by what the short ones took alone, and later.
+     */
+    private void judgeCrowding(double now, Call call, Attempt attempt, Finished finished) {
+        Target target = attempt.slot().target;
         double base = learned[call.request.requestClass()].baseMs();
-        if (finished.outcome() == Outcome.OK) {
-            target.answered(now);
-        } else if (finished.outcome() == Outcome.TIMED_OUT && hangs(now, target)) {
+        if (finished.outcome() == Outcome.TIMED_OUT && hangs(now, target)) {
             return;
         }
         double ratio = switch (finished.outcome()) {
@@ -437,13 +446,18 @@
             case QUEUE_FULL -> 1;
             default -> pressure;
         };
-        // A balancer with few calls at once has few answers a second: each must then tell more.
-        pressure += Math.max(PRESSURE_GAIN, 1 / (2 + 2 * limit)) * (ratio - pressure);
         if (isFar(target)) {
             farCrowding += PRESSURE_GAIN * (ratio - farCrowding);
         } else {
             nearCrowding += PRESSURE_GAIN * (ratio - nearCrowding);
         }
+        if (finished.outcome() == Outcome.OK) {
+            target.answered(now, ratio);
+        } else if (finished.outcome() == Outcome.TIMED_OUT && target.lastAnswer > attempt.sentAt()) {
+            ratio = Math.min(ratio, target.crowding);
+        }
+        // A balancer with few calls at once has few answers a second: each must then tell more.
+        pressure += Math.max(PRESSURE_GAIN, 1 / (2 + 2 * limit)) * (ratio - pressure);
         if (pressure > comfort()) {
             if (now >= nextCut) {
                 limit = Math.max(LEAST_CALLS * growth(), Math.min(limit, peak + 1) * CUT);
@@ -681,7 +695,7 @@
         lastEnd = now;
         lastTook = finished.tookMs();
         learn(now, call, attempt, finished);
-        judgeCrowding(now, call, attempt.slot().target, finished);
+        judgeCrowding(now, call, attempt, finished);
         release(now, attempt.slot(), finished.outcome(), isFailure(call, finished));
         if (finished.concluded()) {
             call.answered = true;
@@ -1191,6 +1205,7 @@
         target.pausedUntil = 0;
         target.slowness = 1;
         target.lastAnswer = 0;
+        target.crowding = 0;
         target.answerGapMs = 0;
     }
 
--- /dev/null
+++ b/src/test/java/mapleroute/sidecar/LostCallsTest.java
@@ -0,0 +1,82 @@
+package mapleroute.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** An endpoint that answers most calls as ever and leaves others without a word. */
+@Timeout(60)
+class LostCallsTest {
+
+    private static final int AIM_MS = 1000;
+    private static final int LOST_MS = 800;
+    private static final int ROUNDS = 7;
+    /** As many as the limit starts from before one endpoint, with one of the answered calls. */
+    private static final int LOST_AT_ONCE = 3;
+    /** What an answer takes: short against the aim, long enough that not too many of them hide the lost. */
+    private static final int WORK_MS = 150;
+    private static final int HELD = 6;
+
+    private final AtomicInteger givenUp = new AtomicInteger();
+    private final Fake endpoint = new Fake((wire, request) -> {
+        if (request.line().startsWith("POST")) {
+            wire.awaitEnd();
+            givenUp.incrementAndGet();
+        } else {
+            Thread.sleep(WORK_MS);
+            Fake.answer(wire, 200, "", "served");
+        }
+    });
+    private final Rig rig = new Rig(endpoint);
+    private final List<Wire> clients = new ArrayList<>();
+
+    LostCallsTest() throws IOException {
+        rig.aimMs = AIM_MS;
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        for (Wire client : clients) {
+            client.close();
+        }
+        rig.close();
+    }
+
+    /** Sends calls that get no answer; each is on its way at the endpoint when this returns. */
+    private List<Wire> lose(int calls, int deadlineMs) throws Exception {
+        int before = endpoint.requests.size();
+        List<Wire> lost = new ArrayList<>();
+        for (int i = 0; i < calls; i++) {
+            Wire client = rig.client();
+            clients.add(client);
+            lost.add(client.send(rig.request("order", deadlineMs)));
+        }
+        Rig.await("all calls are at the endpoint", () -> endpoint.requests.size() == before + calls);
+        return lost;
+    }
+
+    /** Guards against calls turned away at an endpoint that has room: what it loses does not crowd it. */
+    @Test
+    void lostCallsDoNotLowerTheLimitWhileOthersAreAnswered() throws Exception {
+        rig.start();
+        for (int round = 0; round < ROUNDS; round++) {
+            List<Wire> lost = lose(LOST_AT_ONCE, LOST_MS);
+            while (givenUp.get() < (round + 1) * LOST_AT_ONCE) {
+                assertEquals(200, rig.ask("read", AIM_MS).status());
+            }
+            for (Wire client : lost) {
+                int status = client.read().status();
+                assertNotEquals(503, status);
+                assertNotEquals(200, status);
+            }
+        }
+        assertEquals(HELD, lose(HELD, AIM_MS).size());
+    }
+}
--- a/src/test/java/mapleroute/sidecar/Rig.java
+++ b/src/test/java/mapleroute/sidecar/Rig.java
@@ -26,6 +26,7 @@
     int idleCloseMs = 15_000;
     int askWithinMs = 600_000;
     int sockets = 1024;
+    int aimMs = 9000;
     private int requests;
 
     Rig(Fake... endpoints) throws IOException {
@@ -55,13 +56,13 @@
             "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,
             "settings":{"azs":["a"],"models":["m"],"replicas-of-me":1,"slot-no":0,"tier":0,"zone":0,
             "membership-mode":"on_request","classes":[
-            {"name":"read","effect":"repeatable","group":"all","hard-limit-ms":9000,"slo-ms":9000,"worth":1},
-            {"name":"order","effect":"once","group":"all","hard-limit-ms":9000,"slo-ms":9000,"worth":1}],
+            {"name":"read","effect":"repeatable","group":"all","hard-limit-ms":9000,"slo-ms":%d,"worth":1},
+            {"name":"order","effect":"once","group":"all","hard-limit-ms":9000,"slo-ms":%d,"worth":1}],
             "limits":{"cancel":true,"dial-timeout-ms":2000,"idle-close-ms":%d,"max-retry-after-ms":2000,
             "parallel-tries":true,"retry-after":false,"try-limit":3},
             "rules":{"cold-share":0.5,"cold-ms":1000,"tip-multiple":3,"fall-ms":1000,"drain-grace-ms":500,
             "ask-within-ms":%d}}}""".formatted(discovery.address(), sockets, list(1, true,
-                lines.toArray(String[]::new)), idleCloseMs, askWithinMs);
+                lines.toArray(String[]::new)), aimMs, aimMs, idleCloseMs, askWithinMs);
     }
 
     Rig start() throws IOException {
