--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -431,8 +431,8 @@
      *
      * <p>Guards against a limit that lost calls take down: where a server has answered others since, a call
      * left without an answer tells no more of crowding than those answers do. Also covers answers lost on the
-     * way, stuck workers, and odd calls of vast work. May do harm where a crowded server lets short calls pass
-     * long ones: then the limit falls by what the short ones took alone, and later.
+     * way, stuck workers, and odd calls of vast work. May do harm where a crowded server lets short calls
+     * pass long ones: then the limit falls by what the short ones took alone, and later.
      */
     private void judgeCrowding(double now, Call call, Attempt attempt, Finished finished) {
         Target target = attempt.slot().target;
