Lost calls are counted low only where the server is in comfort and holds no more than its share

A server that holds more than limit / ready may be crowded by this balancer; there time-outs count in full, as they do where its answers are beyond comfort.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -429,10 +429,10 @@
     /**
      * Moves the limit by an outcome: down while answers take too much of the aim, else slowly up.
      *
-     * <p>Guards against a limit that lost calls take down: where a server has answered others since, a call
-     * left without an answer tells no more of crowding than those answers do. Also covers answers lost on the
-     * way, stuck workers, and odd calls of vast work. May do harm where a crowded server lets short calls
-     * pass long ones: then the limit falls by what the short ones took alone, and later.
+     * <p>Guards against a limit that lost calls take down: where a server has answered others since, and in
+     * comfort, a call left without an answer tells no more of crowding than those answers do. Also covers
+     * answers lost on the way, stuck workers, and odd calls of vast work. May do harm where short calls pass
+     * long ones at a crowded server, so it holds only where no more than the limit's share of calls is.
      */
     private void judgeCrowding(double now, Call call, Attempt attempt, Finished finished) {
         Target target = attempt.slot().target;
@@ -453,7 +453,8 @@
         }
         if (finished.outcome() == Outcome.OK) {
             target.answered(now, ratio);
-        } else if (finished.outcome() == Outcome.TIMED_OUT && target.lastAnswer > attempt.sentAt()) {
+        } else if (finished.outcome() == Outcome.TIMED_OUT && target.lastAnswer > attempt.sentAt()
+                && target.crowding < comfort() && target.inFlight <= Math.max(1, limit / ready)) {
             ratio = Math.min(ratio, target.crowding);
         }
         // A balancer with few calls at once has few answers a second: each must then tell more.
