Rooms for more than one front: packages by concern, under the product's name

Need: everything between the sockets and the decision module stood in one package, so a second front had nowhere to stand; and the program still bore its old name.

Change: moves and renames only. The program is a Maven module, sidecar/; base package, jar and log lines are named martenlatch; a package for each room, with what it may use.

--- a/src/main/java/mapleroute/benchlink/BenchLink.java
+++ b/sidecar/src/main/java/martenlatch/benchlink/BenchLink.java
@@ -1,4 +1,4 @@
-package mapleroute.benchlink;
+package martenlatch.benchlink;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -15,16 +15,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import mapleroute.Decide;
-import mapleroute.SettingsReader;
-import mapleroute.Contract.Actions;
-import mapleroute.Contract.Finished;
-import mapleroute.Contract.ListKind;
-import mapleroute.Contract.Load;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.Request;
-import mapleroute.Contract.Server;
-import mapleroute.Contract.State;
+import martenlatch.config.SettingsReader;
+import martenlatch.policy.Contract.Actions;
+import martenlatch.policy.Contract.Finished;
+import martenlatch.policy.Contract.ListKind;
+import martenlatch.policy.Contract.Load;
+import martenlatch.policy.Contract.Outcome;
+import martenlatch.policy.Contract.Request;
+import martenlatch.policy.Contract.Server;
+import martenlatch.policy.Contract.State;
+import martenlatch.policy.Decide;
 
 /**
  * Speaks the simulator's wire: reads batches of events, hands each to the balancer of its instance, and
@@ -409,7 +409,7 @@
             case "PingResult", "NeighbourSays" -> running();
             default -> {
                 if (unknownKinds.add(e.kind)) {
-                    complaints.println("mapleroute: batch " + batch + ", instance " + current
+                    complaints.println("martenlatch: batch " + batch + ", instance " + current
                         + ": events of kind '" + e.kind + "' are unknown and skipped");
                 }
             }
--- a/src/main/java/mapleroute/benchlink/WireException.java
+++ b/sidecar/src/main/java/martenlatch/benchlink/WireException.java
@@ -1,4 +1,4 @@
-package mapleroute.benchlink;
+package martenlatch.benchlink;
 
 /** Input that the adapter cannot act on; the message names the batch and, where known, the instance. */
 public final class WireException extends RuntimeException {
--- a/src/main/java/mapleroute/Main.java
+++ b/sidecar/src/main/java/martenlatch/cli/Main.java
@@ -1,4 +1,4 @@
-package mapleroute;
+package martenlatch.cli;
 
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
@@ -9,9 +9,9 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
-import mapleroute.benchlink.BenchLink;
-import mapleroute.benchlink.WireException;
-import mapleroute.sidecar.Sidecar;
+import martenlatch.benchlink.BenchLink;
+import martenlatch.benchlink.WireException;
+import martenlatch.sidecar.Sidecar;
 import sun.misc.Signal;
 
 /** The command line: {@code serve} is one real sidecar, {@code benchlink} the simulator's adapter. */
@@ -40,14 +40,14 @@
     public static int run(String[] args, InputStream in, OutputStream out, PrintStream errors)
             throws IOException {
         if (args.length != 1 || !args[0].equals("benchlink")) {
-            errors.println("usage: java -jar mapleroute.jar serve|benchlink");
+            errors.println("usage: java -jar martenlatch.jar serve|benchlink");
             return 2;
         }
         try {
             new BenchLink(in, out, errors).run();
             return 0;
         } catch (WireException e) {
-            errors.println("mapleroute: " + e.getMessage());
+            errors.println("martenlatch: " + e.getMessage());
             return 1;
         }
     }
@@ -71,7 +71,7 @@
             running.complete(sidecar);
             return 0;
         } catch (IOException | RuntimeException e) {
-            errors.println("mapleroute: " + (e.getMessage() == null ? e.toString()
+            errors.println("martenlatch: " + (e.getMessage() == null ? e.toString()
                 : e.getMessage().lines().findFirst().orElse("")));
             return 1;
         }
--- a/src/main/java/mapleroute/SettingsReader.java
+++ b/sidecar/src/main/java/martenlatch/config/SettingsReader.java
@@ -1,4 +1,4 @@
-package mapleroute;
+package martenlatch.config;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -7,13 +7,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import mapleroute.Contract.Effect;
-import mapleroute.Contract.Group;
-import mapleroute.Contract.Limits;
-import mapleroute.Contract.RequestClass;
-import mapleroute.Contract.Rules;
-import mapleroute.Contract.Settings;
-import mapleroute.Contract.Tenant;
+import martenlatch.policy.Contract.Effect;
+import martenlatch.policy.Contract.Group;
+import martenlatch.policy.Contract.Limits;
+import martenlatch.policy.Contract.RequestClass;
+import martenlatch.policy.Contract.Rules;
+import martenlatch.policy.Contract.Settings;
+import martenlatch.policy.Contract.Tenant;
 
 /** Turns the wire's settings object into {@link Settings}; what it does not know it passes over. */
 public final class SettingsReader {
--- a/src/main/java/mapleroute/sidecar/ClientGuard.java
+++ b/sidecar/src/main/java/martenlatch/front/http/ClientGuard.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package martenlatch.front.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/front/http/Frontend.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package martenlatch.front.http;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -35,20 +35,25 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import mapleroute.Contract.Request;
-import mapleroute.Contract.RequestClass;
-import mapleroute.Contract.Settings;
+import martenlatch.host.Clock;
+import martenlatch.host.Complaints;
+import martenlatch.host.Exchange;
+import martenlatch.net.Buffers;
+import martenlatch.policy.Contract.Request;
+import martenlatch.policy.Contract.RequestClass;
+import martenlatch.policy.Contract.Settings;
+import martenlatch.upstream.AnswerReader;
 
 /** The listener for clients: takes their requests, turns away what is none, writes the final answers. */
-final class Frontend {
+public final class Frontend {
 
-    static final String DEADLINE = "X-Deadline-Ms";
+    public static final String DEADLINE = "X-Deadline-Ms";
     private static final String ID = "X-Request-Id";
     private static final int BACKLOG = 1024;
     /** Requests that a client may send ahead of their answers on one connection. */
     private static final int MOST_AHEAD = 8;
     /** Connections above the bound that are still taken in, to refuse what they ask in good order. */
-    static final int OVERFLOW = 16;
+    public static final int OVERFLOW = 16;
     private static final double OVERFLOW_COOL_DOWN_MS = 1000;
     /** What a request is told by, which must not be open to two readings. */
     private static final List<String> ONCE_ONLY = List.of(ID, DEADLINE, "X-Class", "X-Tenant",
@@ -77,7 +82,7 @@
     private boolean finishing;
     private double endsAt = Double.POSITIVE_INFINITY;
 
-    Frontend(EventLoop loop, Clock clock, Complaints complaints, Exchange exchange, Settings settings,
+    public Frontend(EventLoop loop, Clock clock, Complaints complaints, Exchange exchange, Settings settings,
             int most) {
         this.loop = loop;
         this.clock = clock;
@@ -89,11 +94,11 @@
         settings.tenants().forEach(tenant -> tenants.put(tenant.name(), tenants.size()));
     }
 
-    ChannelFuture listen(InetSocketAddress address) {
+    public ChannelFuture listen(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
+            .childOption(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override
@@ -107,22 +112,22 @@
     }
 
     /** The code has run often enough to be quick: from now on it may be used. */
-    void warm() {
+    public void warm() {
         warm = true;
     }
 
     /** Goes on, but takes no request that might not be answered by then, and is not ready for more. */
-    void drain(double leftMs) {
+    public void drain(double leftMs) {
         draining = true;
         endsAt = clock.now() + leftMs;
     }
 
-    void closeListener() {
+    public void closeListener() {
         listener.close();
     }
 
     /** From now on each answer is the last on its connection; those that wait for none are let go. */
-    void finish() {
+    public void finish() {
         finishing = true;
         for (Connection connection : List.copyOf(connections)) {
             if (connection.replies.isEmpty() && !connection.ending) {
@@ -132,12 +137,12 @@
     }
 
     /** Takes in no more, and lets go of the connections that wait for no answer. */
-    void close() {
+    public void close() {
         closeListener();
         finish();
     }
 
-    boolean isEmpty() {
+    public boolean isEmpty() {
         return connections.isEmpty();
     }
 
--- a/src/main/java/mapleroute/sidecar/RequestReader.java
+++ b/sidecar/src/main/java/martenlatch/front/http/RequestReader.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package martenlatch.front.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
+import martenlatch.upstream.AnswerReader;
 
 /**
  * Makes whole requests of what the decoder has read. The first thing that is no request, or too large, or
--- a/src/main/java/mapleroute/sidecar/Complaints.java
+++ b/sidecar/src/main/java/martenlatch/host/Complaints.java
@@ -1,11 +1,11 @@
-package mapleroute.sidecar;
+package martenlatch.host;
 
 import java.io.PrintStream;
 import java.util.HashMap;
 import java.util.Map;
 
 /** The log for what goes wrong: a line a second of each kind at most, as trouble comes by the thousand. */
-final class Complaints {
+public final class Complaints {
 
     private static final double PAUSE_MS = 1000;
 
@@ -18,13 +18,13 @@
     private final PrintStream out;
     private final Map<String, Kind> kinds = new HashMap<>();
 
-    Complaints(Clock clock, PrintStream out) {
+    public Complaints(Clock clock, PrintStream out) {
         this.clock = clock;
         this.out = out;
     }
 
     /** Logs what happened, unless a line of this kind has been logged within the last second. */
-    void log(String kind, Object detail) {
+    public void log(String kind, Object detail) {
         Kind known = kinds.computeIfAbsent(kind, k -> new Kind());
         double now = clock.now();
         if (now < known.nextAt) {
@@ -32,20 +32,20 @@
             return;
         }
         known.nextAt = now + PAUSE_MS;
-        out.println("mapleroute: " + kind + ": " + detail
+        out.println("martenlatch: " + kind + ": " + detail
             + (known.suppressed == 0 ? "" : " (and " + known.suppressed + " more before)"));
         known.suppressed = 0;
     }
 
     /** An exception of our own making: the place it came from is what helps. */
-    void bug(String kind, Throwable e) {
+    public void bug(String kind, Throwable e) {
         StackTraceElement[] trace = e.getStackTrace();
         log(kind, e + (trace.length == 0 ? "" : " at " + trace[0]
             + (trace.length == 1 ? "" : ", " + trace[1])));
     }
 
     /** A line that the decision module wants the operators to see. */
-    void say(String line) {
-        out.println("mapleroute: " + line);
+    public void say(String line) {
+        out.println("martenlatch: " + line);
     }
 }
--- a/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/sidecar/src/main/java/martenlatch/host/Exchange.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package martenlatch.host;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -16,21 +16,26 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import mapleroute.Contract.Actions;
-import mapleroute.Contract.Events;
-import mapleroute.Contract.Finished;
-import mapleroute.Contract.ListKind;
-import mapleroute.Contract.Load;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.Request;
-import mapleroute.Contract.Settings;
-import mapleroute.Decide;
+import martenlatch.front.http.Frontend;
+import martenlatch.membership.DiscoveryClient;
+import martenlatch.policy.Contract.Actions;
+import martenlatch.policy.Contract.Events;
+import martenlatch.policy.Contract.Finished;
+import martenlatch.policy.Contract.ListKind;
+import martenlatch.policy.Contract.Load;
+import martenlatch.policy.Contract.Outcome;
+import martenlatch.policy.Contract.Request;
+import martenlatch.policy.Contract.Settings;
+import martenlatch.policy.Decide;
+import martenlatch.sidecar.SidecarConfig;
+import martenlatch.upstream.AnswerReader;
+import martenlatch.upstream.EndpointPool;
 
 /**
  * The host of the decision module: the table of open requests and their attempts. It carries out what the
  * module asks for, tells it what comes of it, and sees to it that each request gets one final answer.
  */
-final class Exchange implements Actions, DiscoveryClient.Listener {
+public final class Exchange implements Actions, DiscoveryClient.Listener {
 
     /** So long after its deadline a request that nothing has concluded fails. */
     private static final double OVERDUE_MS = 5;
@@ -38,11 +43,11 @@
     private static final int AGENT_PAUSE_MS = 100;
 
     /** What a client sent, beyond what the module decides by. */
-    record Message(HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+    public record Message(HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
     }
 
     /** Where the final answer to a request goes; exactly one of these is called, once. */
-    interface Client {
+    public interface Client {
         void served(AnswerReader.Answer answer);
 
         /** An endpoint has turned the request away for what it is; no other would take it. */
@@ -108,7 +113,7 @@
     private boolean telling;
     private boolean listed;
 
-    Exchange(EventLoop loop, Clock clock, Complaints complaints, EndpointPool endpoints,
+    public Exchange(EventLoop loop, Clock clock, Complaints complaints, EndpointPool endpoints,
             Runnable watch, SidecarConfig config) {
         this.loop = loop;
         this.clock = clock;
@@ -124,21 +129,21 @@
     }
 
     /** Whether a list has named an endpoint yet. */
-    boolean knowsEndpoints() {
+    public boolean knowsEndpoints() {
         return listed;
     }
 
-    int openRequests() {
+    public int openRequests() {
         return table.size();
     }
 
-    boolean has(String id) {
+    public boolean has(String id) {
         return table.containsKey(id);
     }
 
     // ---- what happens ----
 
-    void request(Request request, Message message, Client client) {
+    public void request(Request request, Message message, Client client) {
         Open open = new Open(request, message, client);
         table.put(request.id(), open);
         open.overdue = after(request.deadlineMs() - clock.now() + OVERDUE_MS, () -> overdue(open));
@@ -146,7 +151,7 @@
     }
 
     /** The client's connection has ended before its answer. */
-    void clientGone(String id) {
+    public void clientGone(String id) {
         Open open = table.get(id);
         if (open != null && !open.concluded) {
             conclude(open);
--- a/src/main/java/mapleroute/sidecar/ServerList.java
+++ b/sidecar/src/main/java/martenlatch/host/ServerList.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package martenlatch.host;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -10,28 +10,28 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import mapleroute.Contract.Server;
-import mapleroute.Contract.State;
-import mapleroute.SettingsReader;
+import martenlatch.config.SettingsReader;
+import martenlatch.policy.Contract.Server;
+import martenlatch.policy.Contract.State;
 
 /** A list of endpoints, or changes to one, in discovery's form. */
-record ServerList(long version, boolean full, List<Entry> entries) {
+public record ServerList(long version, boolean full, List<Entry> entries) {
 
     private static final JsonFactory JSON = new JsonFactory();
 
     /** An endpoint and where it listens, as this sidecar sees it. */
-    record Entry(Server server, InetSocketAddress address) {
+    public record Entry(Server server, InetSocketAddress address) {
     }
 
     /** The names of the zones and kinds, whose places in the settings stand for them. */
-    record Names(List<String> zones, List<String> kinds) {
+    public record Names(List<String> zones, List<String> kinds) {
     }
 
-    List<Server> servers() {
+    public List<Server> servers() {
         return entries.stream().map(Entry::server).toList();
     }
 
-    static ServerList parse(byte[] json, Names names) throws IOException {
+    public static ServerList parse(byte[] json, Names names) throws IOException {
         try (JsonParser in = JSON.createParser(json)) {
             in.nextToken();
             if (!(in.currentToken() != null && SettingsReader.value(in) instanceof Map<?, ?> list)) {
@@ -41,7 +41,7 @@
         }
     }
 
-    static ServerList of(Map<?, ?> list, Names names) {
+    public static ServerList of(Map<?, ?> list, Names names) {
         if (!(list.get("version") instanceof Double version)) {
             throw bad("version", list.get("version"));
         }
@@ -91,7 +91,7 @@
     }
 
     /** Reads {@code 10.0.0.4:9000}; names would need DNS, of which there is none. */
-    static InetSocketAddress address(String field, Object value) {
+    public static InetSocketAddress address(String field, Object value) {
         if (value instanceof String text) {
             int colon = text.lastIndexOf(':');
             byte[] ip = colon < 0 ? null
@@ -108,7 +108,7 @@
         throw bad(field, value);
     }
 
-    static IllegalArgumentException bad(String field, Object value) {
+    public static IllegalArgumentException bad(String field, Object value) {
         return new IllegalArgumentException("field " + field
             + (value == null ? " is missing" : " is not usable: " + value));
     }
--- a/src/main/java/mapleroute/sidecar/DiscoveryClient.java
+++ b/sidecar/src/main/java/martenlatch/membership/DiscoveryClient.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package martenlatch.membership;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -26,12 +26,15 @@
 import java.net.InetSocketAddress;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import martenlatch.host.Complaints;
+import martenlatch.host.ServerList;
+import martenlatch.net.Buffers;
 
 /**
  * Watches the list of endpoints, call after call, until a call fails. In which way to go on then is for
  * whoever listens: it calls {@link #watch} again.
  */
-final class DiscoveryClient {
+public final class DiscoveryClient {
 
     /** How long discovery is asked to wait for news. */
     private static final int WAIT_MS = 20_000;
@@ -40,7 +43,7 @@
     private static final int MOST_BODY = 4 * 1024 * 1024;
 
     /** What comes of the watch. */
-    interface Listener {
+    public interface Listener {
         void listed(ServerList list);
 
         void failed();
@@ -58,14 +61,14 @@
     /** Set while a call is out. */
     private Future<?> silence;
 
-    DiscoveryClient(EventLoop loop, InetSocketAddress address, ServerList.Names names,
+    public DiscoveryClient(EventLoop loop, InetSocketAddress address, ServerList.Names names,
             Complaints complaints) {
         this.loop = loop;
         this.address = address;
         this.names = names;
         this.complaints = complaints;
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
+            .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, SILENCE_MS)
             .handler(new ChannelInitializer<SocketChannel>() {
@@ -78,7 +81,7 @@
     }
 
     /** Who hears of lists, and which version is known already. */
-    void listen(Listener hearer, long known) {
+    public void listen(Listener hearer, long known) {
         listener = hearer;
         version = OptionalLong.of(known);
     }
@@ -87,7 +90,7 @@
      * Goes on at another address, at once and without a word of failure. Versions are counted anew there,
      * so it is asked for the whole list.
      */
-    void move(InetSocketAddress to) {
+    public void move(InetSocketAddress to) {
         if (to.equals(address)) {
             return;
         }
@@ -99,7 +102,7 @@
     }
 
     /** Starts a watch; one that is on goes on, and its next answer serves for both. */
-    void watch() {
+    public void watch() {
         if (silence != null) {
             return;
         }
--- a/src/main/java/mapleroute/Contract.java
+++ b/sidecar/src/main/java/martenlatch/policy/Contract.java
@@ -1,4 +1,4 @@
-package mapleroute;
+package martenlatch.policy;
 
 import java.util.List;
 
--- a/src/main/java/mapleroute/Decide.java
+++ b/sidecar/src/main/java/martenlatch/policy/Decide.java
@@ -1,5 +1,5 @@
 // The decision module. The types, events and actions it deals in are declared in Contract.java.
-package mapleroute;
+package martenlatch.policy;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -9,17 +9,17 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
-import mapleroute.Contract.Actions;
-import mapleroute.Contract.Effect;
-import mapleroute.Contract.Events;
-import mapleroute.Contract.Finished;
-import mapleroute.Contract.Group;
-import mapleroute.Contract.ListKind;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.Request;
-import mapleroute.Contract.RequestClass;
-import mapleroute.Contract.Settings;
-import mapleroute.Contract.State;
+import martenlatch.policy.Contract.Actions;
+import martenlatch.policy.Contract.Effect;
+import martenlatch.policy.Contract.Events;
+import martenlatch.policy.Contract.Finished;
+import martenlatch.policy.Contract.Group;
+import martenlatch.policy.Contract.ListKind;
+import martenlatch.policy.Contract.Outcome;
+import martenlatch.policy.Contract.Request;
+import martenlatch.policy.Contract.RequestClass;
+import martenlatch.policy.Contract.Settings;
+import martenlatch.policy.Contract.State;
 
 /**
  * One balancer after Boxcar: a bounded pool of ranked slots on servers; every call takes the lowest-ranked
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -1,7 +1,5 @@
-package mapleroute.sidecar;
+package martenlatch.sidecar;
 
-import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -14,13 +12,17 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import mapleroute.Contract.RequestClass;
+import martenlatch.front.http.Frontend;
+import martenlatch.host.Clock;
+import martenlatch.host.Complaints;
+import martenlatch.host.Exchange;
+import martenlatch.membership.DiscoveryClient;
+import martenlatch.policy.Contract.RequestClass;
+import martenlatch.upstream.EndpointPool;
 
 /** One real sidecar: its parts on one event loop, which is the only thread that touches any of them. */
 public final class Sidecar {
 
-    /** One small arena: messages are of a few hundred bytes, and memory is tight. */
-    static final ByteBufAllocator BUFFERS = new PooledByteBufAllocator(true, 1, 1, 8192, 4, 0, 0, false);
     /** Descriptors beyond those that the JVM holds from its start: warm-up, discovery, a round of accepts. */
     private static final int SPARE_SOCKETS = 32;
     /** What the JVM holds open where the system does not tell. */
@@ -100,7 +102,7 @@
         long began = System.nanoTime();
         loop.execute(() -> new Warmup(loop, config, () -> {
             frontend.warm();
-            log.println("mapleroute: warm after " + (System.nanoTime() - began) / 1_000_000 + " ms");
+            log.println("martenlatch: warm after " + (System.nanoTime() - began) / 1_000_000 + " ms");
         }).start());
     }
 
@@ -112,10 +114,10 @@
         loop.execute(() -> {
             try {
                 InetSocketAddress named = SidecarConfig.read(file).discovery();
-                log.println("mapleroute: configuration read again: discovery is at " + named);
+                log.println("martenlatch: configuration read again: discovery is at " + named);
                 discovery.move(named);
             } catch (IOException | RuntimeException e) {
-                log.println("mapleroute: the configuration stays as it was: " + e.getMessage());
+                log.println("martenlatch: the configuration stays as it was: " + e.getMessage());
             }
         });
     }
@@ -126,7 +128,7 @@
      * them are still starting, they would find nobody.
      */
     public void drain() {
-        log.println("mapleroute: draining");
+        log.println("martenlatch: draining");
         CountDownLatch empty = new CountDownLatch(1);
         long killedAfterMs = Math.min(mostDeadlineMs, MOST_WAIT_MS) + KILL_SLACK_MS;
         long endMs = killedAfterMs - DRAIN_SLACK_MS;
@@ -145,8 +147,8 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        log.println(empty.getCount() == 0 ? "mapleroute: drained"
-            : "mapleroute: not all connections were empty in time");
+        log.println(empty.getCount() == 0 ? "martenlatch: drained"
+            : "martenlatch: not all connections were empty in time");
         stop();
     }
 
--- a/src/main/java/mapleroute/sidecar/SidecarConfig.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/SidecarConfig.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package martenlatch.sidecar;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -11,8 +11,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import mapleroute.Contract.Settings;
-import mapleroute.SettingsReader;
+import martenlatch.config.SettingsReader;
+import martenlatch.host.ServerList;
+import martenlatch.policy.Contract.Settings;
 
 /**
  * What a sidecar is told at its start, read from the file that GW_CONFIG names.
--- a/src/main/java/mapleroute/sidecar/Warmup.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Warmup.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package martenlatch.sidecar;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -29,10 +29,18 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import mapleroute.Contract.Effect;
-import mapleroute.Contract.RequestClass;
-import mapleroute.Contract.Server;
-import mapleroute.Contract.State;
+import martenlatch.front.http.Frontend;
+import martenlatch.host.Clock;
+import martenlatch.host.Complaints;
+import martenlatch.host.Exchange;
+import martenlatch.host.ServerList;
+import martenlatch.net.Buffers;
+import martenlatch.policy.Contract.Effect;
+import martenlatch.policy.Contract.RequestClass;
+import martenlatch.policy.Contract.Server;
+import martenlatch.policy.Contract.State;
+import martenlatch.upstream.AnswerReader;
+import martenlatch.upstream.EndpointPool;
 
 /**
  * Runs made-up requests through a second set of the sidecar's parts, on its own address, so that the code
@@ -64,7 +72,7 @@
     void start() {
         loop.schedule(this::end, MOST_MS, TimeUnit.MILLISECONDS);
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-            .childOption(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
+            .childOption(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel accepted) {
@@ -109,7 +117,7 @@
 
     private void startClient(InetSocketAddress at) {
         ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
+            .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(new ChannelInitializer<SocketChannel>() {
                 @Override
--- a/src/main/java/mapleroute/sidecar/AnswerReader.java
+++ b/sidecar/src/main/java/martenlatch/upstream/AnswerReader.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package martenlatch.upstream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -21,19 +21,19 @@
  * Reads the one answer that a connection to an endpoint waits for. It is told once all that has come with it
  * is read, so that bytes that don't belong to it are never taken for the next one.
  */
-final class AnswerReader extends ChannelInboundHandlerAdapter {
+public final class AnswerReader extends ChannelInboundHandlerAdapter {
 
     /** The largest body that the protocol allows. */
-    static final int MOST_BODY = 64 * 1024;
+    public static final int MOST_BODY = 64 * 1024;
     /** Answers 1xx ahead of the final one; more are no good sign. */
     private static final int MOST_INTERIM = 16;
 
     /** A final answer as it came. */
-    record Answer(int status, boolean notRun, boolean keepAlive, String contentType, byte[] body) {
+    public record Answer(int status, boolean notRun, boolean keepAlive, String contentType, byte[] body) {
     }
 
     /** What comes of it. */
-    interface Listener {
+    public interface Listener {
         /** The answer is whole; {@code clean} if nothing came with it, so that the connection may go on. */
         void answered(Answer answer, boolean clean);
 
@@ -96,16 +96,16 @@
     /** More has come with the answer than belongs to it. */
     private boolean more;
 
-    AnswerReader(Listener listener) {
+    public AnswerReader(Listener listener) {
         this.listener = listener;
     }
 
-    void addTo(ChannelPipeline pipeline) {
+    public void addTo(ChannelPipeline pipeline) {
         pipeline.addLast(new Gate(), decoder, this);
     }
 
     /** A request has been written whole: from here on what comes may be its answer. */
-    void expect() {
+    public void expect() {
         expecting = true;
     }
 
--- a/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package martenlatch.upstream;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
@@ -21,12 +21,16 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.State;
-import mapleroute.sidecar.AnswerReader.Answer;
+import martenlatch.host.Clock;
+import martenlatch.host.Complaints;
+import martenlatch.host.ServerList;
+import martenlatch.net.Buffers;
+import martenlatch.policy.Contract.Outcome;
+import martenlatch.policy.Contract.State;
+import martenlatch.upstream.AnswerReader.Answer;
 
 /** The connections to each endpoint: one request at a time on each, kept alive, bounded in all. */
-final class EndpointPool {
+public final class EndpointPool {
 
     /** An idle connection is closed at this part of the time after which the endpoint may close it. */
     private static final double IDLE_SHARE = 0.5;
@@ -35,13 +39,13 @@
     private static final double SETTLE_MS = 1;
 
     /** How an attempt ended; it is told once, and never after {@link Attempt#giveUp}. */
-    interface Ending {
+    public interface Ending {
         /** The answer is null where none came. */
         void ended(Outcome outcome, Answer answer);
     }
 
     /** One request on its way to an endpoint. */
-    final class Attempt {
+    public final class Attempt {
         private final FullHttpRequest request;
         private Ending ending;
         private Connection connection;
@@ -54,7 +58,7 @@
         }
 
         /** Stops waiting and closes the connection, which tells the endpoint; true if it may have run. */
-        boolean giveUp() {
+        public boolean giveUp() {
             ending = null;
             connection.close();
             return written;
@@ -90,14 +94,14 @@
     private final Future<?> sweeping;
     private int open;
 
-    EndpointPool(EventLoop loop, Clock clock, Complaints complaints, double dialMs, double idleCloseMs,
+    public EndpointPool(EventLoop loop, Clock clock, Complaints complaints, double dialMs, double idleCloseMs,
             int most) {
         this.clock = clock;
         this.complaints = complaints;
         this.most = most;
         idleMs = idleCloseMs * IDLE_SHARE;
         bootstrap = new Bootstrap().group(loop).channelFactory(EndpointSocket::new)
-            .option(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
+            .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(dialMs));
         long sweep = (long) Math.ceil(idleMs / SWEEPS);
@@ -105,7 +109,7 @@
     }
 
     /** Takes in where endpoints listen; connections to a process or address that is no more are dropped. */
-    void update(ServerList list) {
+    public void update(ServerList list) {
         if (list.full()) {
             Set<String> named = new HashSet<>();
             list.entries().forEach(entry -> named.add(entry.server().id()));
@@ -147,7 +151,7 @@
     }
 
     /** How many endpoints are known. */
-    int size() {
+    public int size() {
         return endpoints.size();
     }
 
@@ -159,7 +163,7 @@
     }
 
     /** Closes the idle connections to an endpoint. */
-    void disconnect(String id) {
+    public void disconnect(String id) {
         Endpoint endpoint = endpoints.get(id);
         if (endpoint != null) {
             closeAll(endpoint);
@@ -173,7 +177,7 @@
     }
 
     /** Sends a request once, on an idle connection or a new one. It may end before this returns. */
-    Attempt send(String id, FullHttpRequest request, Ending ending) {
+    public Attempt send(String id, FullHttpRequest request, Ending ending) {
         Attempt attempt = new Attempt(request, ending);
         Endpoint endpoint = endpoints.get(id);
         closeStale();
@@ -231,7 +235,7 @@
     }
 
     /** Lets go of all idle connections; no more are looked after. */
-    void close() {
+    public void close() {
         sweeping.cancel(false);
         endpoints.values().forEach(EndpointPool::closeAll);
     }
--- a/src/main/java/mapleroute/sidecar/EndpointSocket.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointSocket.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package martenlatch.upstream;
 
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
--- a/src/test/java/mapleroute/benchlink/BenchLinkTest.java
+++ b/sidecar/src/test/java/martenlatch/benchlink/BenchLinkTest.java
@@ -1,4 +1,4 @@
-package mapleroute.benchlink;
+package martenlatch.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -9,7 +9,7 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import mapleroute.Main;
+import martenlatch.cli.Main;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/src/test/java/mapleroute/MainTest.java
+++ b/sidecar/src/test/java/martenlatch/cli/MainTest.java
@@ -1,4 +1,4 @@
-package mapleroute;
+package martenlatch.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -32,7 +32,7 @@
         Path file = Files.writeString(folder.resolve("config.json"), config);
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
             .toString(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-            "mapleroute.Main", "serve");
+            "martenlatch.cli.Main", "serve");
         builder.environment().put("GW_CONFIG", file.toString());
         return builder.redirectErrorStream(true).start();
     }
@@ -83,7 +83,7 @@
         Process process = serve(CONFIG.replace("\"sockets\":1024", "\"sockets\":\"many\""));
         try (BufferedReader log = process.inputReader()) {
             List<String> lines = log.lines().toList();
-            assertEquals(List.of("mapleroute: field limits.sockets is not usable: many"), lines);
+            assertEquals(List.of("martenlatch: field limits.sockets is not usable: many"), lines);
             assertTrue(process.waitFor() > 0);
         } finally {
             process.destroyForcibly();
--- a/src/test/java/mapleroute/BadInputTest.java
+++ b/sidecar/src/test/java/martenlatch/policy/BadInputTest.java
@@ -1,22 +1,22 @@
-package mapleroute;
+package martenlatch.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import mapleroute.Contract.Effect;
-import mapleroute.Contract.Finished;
-import mapleroute.Contract.Group;
-import mapleroute.Contract.Limits;
-import mapleroute.Contract.Load;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.Request;
-import mapleroute.Contract.RequestClass;
-import mapleroute.Contract.Rules;
-import mapleroute.Contract.Server;
-import mapleroute.Contract.State;
-import mapleroute.Contract.Tenant;
+import martenlatch.policy.Contract.Effect;
+import martenlatch.policy.Contract.Finished;
+import martenlatch.policy.Contract.Group;
+import martenlatch.policy.Contract.Limits;
+import martenlatch.policy.Contract.Load;
+import martenlatch.policy.Contract.Outcome;
+import martenlatch.policy.Contract.Request;
+import martenlatch.policy.Contract.RequestClass;
+import martenlatch.policy.Contract.Rules;
+import martenlatch.policy.Contract.Server;
+import martenlatch.policy.Contract.State;
+import martenlatch.policy.Contract.Tenant;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.function.Executable;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/sidecar/src/test/java/martenlatch/policy/DecideTest.java
@@ -1,4 +1,4 @@
-package mapleroute;
+package martenlatch.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -13,12 +13,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import mapleroute.Contract.Finished;
-import mapleroute.Contract.ListKind;
-import mapleroute.Contract.Load;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.State;
-import mapleroute.Contract.Tenant;
+import martenlatch.policy.Contract.Finished;
+import martenlatch.policy.Contract.ListKind;
+import martenlatch.policy.Contract.Load;
+import martenlatch.policy.Contract.Outcome;
+import martenlatch.policy.Contract.State;
+import martenlatch.policy.Contract.Tenant;
 import org.junit.jupiter.api.Test;
 
 /** The mechanism as the design page gives it, and the defence against each failure met. */
--- a/src/test/java/mapleroute/EmbeddingExampleTest.java
+++ b/sidecar/src/test/java/martenlatch/policy/EmbeddingExampleTest.java
@@ -1,22 +1,22 @@
-package mapleroute;
+package martenlatch.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
-import mapleroute.Contract.Actions;
-import mapleroute.Contract.Effect;
-import mapleroute.Contract.Finished;
-import mapleroute.Contract.Group;
-import mapleroute.Contract.Limits;
-import mapleroute.Contract.ListKind;
-import mapleroute.Contract.Load;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.Request;
-import mapleroute.Contract.RequestClass;
-import mapleroute.Contract.Rules;
-import mapleroute.Contract.Server;
-import mapleroute.Contract.Settings;
-import mapleroute.Contract.State;
+import martenlatch.policy.Contract.Actions;
+import martenlatch.policy.Contract.Effect;
+import martenlatch.policy.Contract.Finished;
+import martenlatch.policy.Contract.Group;
+import martenlatch.policy.Contract.Limits;
+import martenlatch.policy.Contract.ListKind;
+import martenlatch.policy.Contract.Load;
+import martenlatch.policy.Contract.Outcome;
+import martenlatch.policy.Contract.Request;
+import martenlatch.policy.Contract.RequestClass;
+import martenlatch.policy.Contract.Rules;
+import martenlatch.policy.Contract.Server;
+import martenlatch.policy.Contract.Settings;
+import martenlatch.policy.Contract.State;
 import org.junit.jupiter.api.Test;
 
 /** The README's example, which must compile and run. */
--- a/src/test/java/mapleroute/PolicyFileTest.java
+++ b/sidecar/src/test/java/martenlatch/policy/PolicyFileTest.java
@@ -1,4 +1,4 @@
-package mapleroute;
+package martenlatch.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -20,12 +20,12 @@
 
     private static List<String> policyLines() throws IOException {
         Matcher policy = Pattern.compile("(?m)^policy = \\[(.*)]$")
-            .matcher(Files.readString(Path.of("deploy/balancer.toml")));
+            .matcher(Files.readString(Path.of("../deploy/balancer.toml")));
         assertTrue(policy.find(), "deploy/balancer.toml names its policy files");
         List<String> lines = new ArrayList<>();
         Matcher file = Pattern.compile("\"([^\"]+)\"").matcher(policy.group(1));
         while (file.find()) {
-            lines.addAll(Files.readAllLines(Path.of(file.group(1))));
+            lines.addAll(Files.readAllLines(Path.of("..", file.group(1))));
         }
         return lines;
     }
--- a/src/test/java/mapleroute/RandomEventsTest.java
+++ b/sidecar/src/test/java/martenlatch/policy/RandomEventsTest.java
@@ -1,4 +1,4 @@
-package mapleroute;
+package martenlatch.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,18 +9,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import mapleroute.Contract.Actions;
-import mapleroute.Contract.Effect;
-import mapleroute.Contract.Finished;
-import mapleroute.Contract.ListKind;
-import mapleroute.Contract.Load;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.Request;
-import mapleroute.Contract.RequestClass;
-import mapleroute.Contract.Server;
-import mapleroute.Contract.Settings;
-import mapleroute.Contract.State;
-import mapleroute.Contract.Tenant;
+import martenlatch.policy.Contract.Actions;
+import martenlatch.policy.Contract.Effect;
+import martenlatch.policy.Contract.Finished;
+import martenlatch.policy.Contract.ListKind;
+import martenlatch.policy.Contract.Load;
+import martenlatch.policy.Contract.Outcome;
+import martenlatch.policy.Contract.Request;
+import martenlatch.policy.Contract.RequestClass;
+import martenlatch.policy.Contract.Server;
+import martenlatch.policy.Contract.Settings;
+import martenlatch.policy.Contract.State;
+import martenlatch.policy.Contract.Tenant;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
--- a/src/test/java/mapleroute/Recorder.java
+++ b/sidecar/src/test/java/martenlatch/policy/Recorder.java
@@ -1,10 +1,10 @@
-package mapleroute;
+package martenlatch.policy;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import mapleroute.Contract.Actions;
+import martenlatch.policy.Contract.Actions;
 
 /** A host that carries nothing out and remembers what it was told. */
 final class Recorder implements Actions {
--- a/src/test/java/mapleroute/sidecar/Fake.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/Fake.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package martenlatch.sidecar;
 
 import java.io.Closeable;
 import java.io.IOException;
--- a/src/test/java/mapleroute/sidecar/Rig.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/Rig.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package martenlatch.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/mapleroute/sidecar/Wire.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/Wire.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package martenlatch.sidecar;
 
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
