The host takes calls from any front and sends attempts through any carrier

Need: Exchange knew the HTTP front, its own endpoint pool, discovery's client and the event loop, so neither a proxy that sends for us nor a clock that a test moves could take their place.

Change: the host's words are Call-side interfaces of its own: Client (where the answer goes), Carrier (who sends an attempt), EndpointTable, Time, Witness (hears each decision in order). A request's head is read by CallReader, the same for every front; discovery's form is read in membership. No behaviour changes.

--- a/sidecar/src/main/java/martenlatch/front/http/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/front/http/Frontend.java
@@ -19,7 +19,6 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -29,48 +28,41 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
-import martenlatch.host.Clock;
+import martenlatch.front.CallReader;
+import martenlatch.host.Answer;
+import martenlatch.host.Client;
 import martenlatch.host.Complaints;
 import martenlatch.host.Exchange;
+import martenlatch.host.Time;
 import martenlatch.net.Buffers;
-import martenlatch.policy.Contract.Request;
-import martenlatch.policy.Contract.RequestClass;
 import martenlatch.policy.Contract.Settings;
-import martenlatch.upstream.AnswerReader;
+import martenlatch.upstream.EndpointPool;
 
 /** The listener for clients: takes their requests, turns away what is none, writes the final answers. */
 public final class Frontend {
 
-    public static final String DEADLINE = "X-Deadline-Ms";
-    private static final String ID = "X-Request-Id";
     private static final int BACKLOG = 1024;
     /** Requests that a client may send ahead of their answers on one connection. */
     private static final int MOST_AHEAD = 8;
     /** Connections above the bound that are still taken in, to refuse what they ask in good order. */
     public static final int OVERFLOW = 16;
     private static final double OVERFLOW_COOL_DOWN_MS = 1000;
-    /** What a request is told by, which must not be open to two readings. */
-    private static final List<String> ONCE_ONLY = List.of(ID, DEADLINE, "X-Class", "X-Tenant",
-        "Idempotency-Key");
     /** Headers that concern one connection only. */
     private static final List<CharSequence> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
         HttpHeaderNames.PROXY_CONNECTION, "keep-alive", HttpHeaderNames.TE, HttpHeaderNames.TRAILER,
         HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE, HttpHeaderNames.EXPECT);
 
     private final EventLoop loop;
-    private final Clock clock;
+    private final Time time;
     private final Complaints complaints;
     private final Exchange exchange;
     private final int most;
-    private final Map<String, Integer> classes = new HashMap<>();
-    private final Map<String, Integer> tenants = new HashMap<>();
-    private final List<RequestClass> kinds;
+    private final CallReader calls;
+    private final EndpointPool endpoints;
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Those that have asked for nothing yet or have had their last answer, the oldest first. */
     private final Set<Connection> expendable = new LinkedHashSet<>();
@@ -82,16 +74,15 @@
     private boolean finishing;
     private double endsAt = Double.POSITIVE_INFINITY;
 
-    public Frontend(EventLoop loop, Clock clock, Complaints complaints, Exchange exchange, Settings settings,
-            int most) {
+    public Frontend(EventLoop loop, Time time, Complaints complaints, Exchange exchange,
+            EndpointPool endpoints, Settings settings, int most) {
         this.loop = loop;
-        this.clock = clock;
+        this.time = time;
         this.complaints = complaints;
         this.exchange = exchange;
         this.most = most;
-        kinds = settings.classes();
-        kinds.forEach(kind -> classes.put(kind.name(), classes.size()));
-        settings.tenants().forEach(tenant -> tenants.put(tenant.name(), tenants.size()));
+        this.endpoints = endpoints;
+        calls = new CallReader(settings);
     }
 
     public ChannelFuture listen(InetSocketAddress address) {
@@ -119,7 +110,7 @@
     /** Goes on, but takes no request that might not be answered by then, and is not ready for more. */
     public void drain(double leftMs) {
         draining = true;
-        endsAt = clock.now() + leftMs;
+        endsAt = time.now() + leftMs;
     }
 
     public void closeListener() {
@@ -250,47 +241,30 @@
         }
 
         private void api(Reply reply, FullHttpRequest request) {
-            HttpHeaders headers = request.headers();
-            String id = headers.get(ID);
-            Integer kind = classes.get(headers.get("X-Class", ""));
-            Integer tenant = tenants.isEmpty() ? Integer.valueOf(0)
-                : tenants.get(headers.get("X-Tenant", ""));
-            double deadline = deadline(headers.get(DEADLINE, ""));
-            if (!request.method().equals(HttpMethod.GET) && !request.method().equals(HttpMethod.POST)) {
-                reply.giveUp(HttpResponseStatus.METHOD_NOT_ALLOWED, "only GET and POST are served");
-            } else if (id == null || id.isEmpty()) {
-                reply.giveUp(HttpResponseStatus.BAD_REQUEST, ID + " is missing");
-            } else if (ONCE_ONLY.stream().anyMatch(name -> headers.getAll(name).size() > 1)) {
-                reply.giveUp(HttpResponseStatus.BAD_REQUEST, "one of " + ONCE_ONLY + " is repeated");
-            } else if (kind == null) {
-                reply.giveUp(HttpResponseStatus.BAD_REQUEST, "X-Class is missing or unknown");
-            } else if (tenant == null) {
-                reply.giveUp(HttpResponseStatus.BAD_REQUEST, "X-Tenant is missing or unknown");
-            } else if (deadline < 0) {
-                reply.giveUp(HttpResponseStatus.BAD_REQUEST, DEADLINE + " is no whole number");
-            } else if (exchange.has(id)) {
-                reply.giveUp(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand");
+            CallReader.Reading reading = calls.read(new Head(request), time.now(), endsAt);
+            if (reading.request() == null) {
+                reply.giveUp(HttpResponseStatus.valueOf(reading.status()), reading.why());
+            } else if (exchange.has(reading.request().id())) {
+                reply.giveUp(HttpResponseStatus.CONFLICT,
+                    CallReader.ID + " is that of a request in hand");
             } else if (surplus) {
                 reply.keepAlive = false;
                 reply.refused(OVERFLOW_COOL_DOWN_MS);
             } else {
-                reply.id = id;
+                reply.id = reading.request().id();
                 hasAsked = true;
-                // No client waits longer than its class may take, whatever it says.
-                double until = clock.now() + Math.min(deadline, kinds.get(kind).deadlineMs());
-                exchange.request(new Request(id, kind, tenant, Math.min(until, endsAt),
-                    "1".equals(headers.get("X-Retry"))), message(request), reply);
+                exchange.request(reading.request(), endpoints.carrier(message(request)), reply);
             }
         }
 
-        private Exchange.Message message(FullHttpRequest request) {
+        private EndpointPool.Message message(FullHttpRequest request) {
             HttpHeaders headers = request.headers().copy();
             HOP_BY_HOP.forEach(headers::remove);
             byte[] body = ByteBufUtil.getBytes(request.content());
             if (body.length > 0) {
                 headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             }
-            return new Exchange.Message(request.method(), request.uri(), headers, body);
+            return new EndpointPool.Message(request.method(), request.uri(), headers, body);
         }
 
         /** Writes the answers that are there, as far as none before them is missing. */
@@ -340,16 +314,25 @@
         }
     }
 
-    /** The milliseconds, or -1 for what is no whole number of a sane size. */
-    private static long deadline(String text) {
-        if (text.isEmpty() || text.length() > 9 || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
-            return -1;
+    private record Head(FullHttpRequest request) implements CallReader.Head {
+        @Override
+        public String method() {
+            return request.method().name();
+        }
+
+        @Override
+        public String first(String name) {
+            return request.headers().get(name);
+        }
+
+        @Override
+        public boolean repeated(String name) {
+            return request.headers().getAll(name).size() > 1;
         }
-        return Long.parseLong(text);
     }
 
     /** The answer that one request on a connection will get. */
-    private static final class Reply implements Exchange.Client {
+    private static final class Reply implements Client {
         private final Connection connection;
         private String id;
         private boolean keepAlive;
@@ -360,7 +343,7 @@
         }
 
         @Override
-        public void served(AnswerReader.Answer answer) {
+        public void served(Answer answer) {
             FullHttpResponse served = response(HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()));
             if (answer.contentType() != null) {
                 served.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
--- /dev/null
+++ b/sidecar/src/main/java/martenlatch/host/Answer.java
@@ -0,0 +1,13 @@
+package martenlatch.host;
+
+/**
+ * A final answer of an endpoint as it came.
+ *
+ * @param status the HTTP status
+ * @param notRun whether it says that the request was never begun
+ * @param keepAlive whether its connection may be used again
+ * @param contentType null where it told none
+ * @param body empty where a proxy passes it on by itself
+ */
+public record Answer(int status, boolean notRun, boolean keepAlive, String contentType, byte[] body) {
+}
--- a/sidecar/src/main/java/martenlatch/host/Complaints.java
+++ b/sidecar/src/main/java/martenlatch/host/Complaints.java
@@ -14,19 +14,19 @@
         int suppressed;
     }
 
-    private final Clock clock;
+    private final Time time;
     private final PrintStream out;
     private final Map<String, Kind> kinds = new HashMap<>();
 
-    public Complaints(Clock clock, PrintStream out) {
-        this.clock = clock;
+    public Complaints(Time time, PrintStream out) {
+        this.time = time;
         this.out = out;
     }
 
     /** Logs what happened, unless a line of this kind has been logged within the last second. */
     public void log(String kind, Object detail) {
         Kind known = kinds.computeIfAbsent(kind, k -> new Kind());
-        double now = clock.now();
+        double now = time.now();
         if (now < known.nextAt) {
             known.suppressed++;
             return;
--- a/sidecar/src/main/java/martenlatch/host/Exchange.java
+++ b/sidecar/src/main/java/martenlatch/host/Exchange.java
@@ -1,23 +1,11 @@
 package martenlatch.host;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
-import martenlatch.front.http.Frontend;
-import martenlatch.membership.DiscoveryClient;
 import martenlatch.policy.Contract.Actions;
 import martenlatch.policy.Contract.Events;
 import martenlatch.policy.Contract.Finished;
@@ -27,37 +15,18 @@
 import martenlatch.policy.Contract.Request;
 import martenlatch.policy.Contract.Settings;
 import martenlatch.policy.Decide;
-import martenlatch.sidecar.SidecarConfig;
-import martenlatch.upstream.AnswerReader;
-import martenlatch.upstream.EndpointPool;
 
 /**
  * The host of the decision module: the table of open requests and their attempts. It carries out what the
  * module asks for, tells it what comes of it, and sees to it that each request gets one final answer.
  */
-public final class Exchange implements Actions, DiscoveryClient.Listener {
+public final class Exchange implements Actions, ServerList.Listener {
 
     /** So long after its deadline a request that nothing has concluded fails. */
     private static final double OVERDUE_MS = 5;
     /** Where lists are pushed, the agent is asked again after this pause when a call has failed. */
     private static final int AGENT_PAUSE_MS = 100;
 
-    /** What a client sent, beyond what the module decides by. */
-    public record Message(HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
-    }
-
-    /** Where the final answer to a request goes; exactly one of these is called, once. */
-    public interface Client {
-        void served(AnswerReader.Answer answer);
-
-        /** An endpoint has turned the request away for what it is; no other would take it. */
-        void turnedAway(int status);
-
-        void refused(double coolDownMs);
-
-        void failed();
-    }
-
     /** What happens to the module, at the time at which it is told. */
     private interface Event {
         void tell(double now);
@@ -68,17 +37,17 @@
 
     private static final class Open {
         final Request request;
-        final Message message;
+        final Carrier carrier;
         final Client client;
         final List<Try> tries = new ArrayList<>(2);
-        Future<?> overdue;
+        Time.Timer overdue;
         boolean concluded;
         /** Attempts whose end the module has not been told yet. */
         int out;
 
-        Open(Request request, Message message, Client client) {
+        Open(Request request, Carrier carrier, Client client) {
             this.request = request;
-            this.message = message;
+            this.carrier = carrier;
             this.client = client;
         }
     }
@@ -88,8 +57,8 @@
         final int number;
         final String server;
         final double sentAt;
-        EndpointPool.Attempt attempt;
-        Future<?> timeout;
+        Carrier.Attempt attempt;
+        Time.Timer timeout;
         boolean ended;
 
         Try(int number, String server, double sentAt) {
@@ -99,13 +68,13 @@
         }
     }
 
-    private final EventLoop loop;
-    private final Clock clock;
+    private final Time time;
     private final Complaints complaints;
-    private final EndpointPool endpoints;
-    /** Begins a watch on discovery. */
+    private final EndpointTable endpoints;
+    /** Begins a watch on the list of endpoints. */
     private final Runnable watch;
     private final Settings settings;
+    private final Witness witness;
     private final Events module;
     private final Map<String, Open> table = new HashMap<>();
     /** Events wait here while the module is at work: it is never called from within its own call. */
@@ -113,16 +82,17 @@
     private boolean telling;
     private boolean listed;
 
-    public Exchange(EventLoop loop, Clock clock, Complaints complaints, EndpointPool endpoints,
-            Runnable watch, SidecarConfig config) {
-        this.loop = loop;
-        this.clock = clock;
+    /** A host that knows a list, perhaps an old one, and no calls. */
+    public Exchange(Time time, Complaints complaints, EndpointTable endpoints, Runnable watch,
+            Settings settings, long seed, ServerList known, Witness witness) {
+        this.time = time;
         this.complaints = complaints;
         this.endpoints = endpoints;
         this.watch = watch;
-        settings = config.settings();
-        module = new Decide(settings, config.seed(), this);
-        tellList(ListKind.CACHED, config.known());
+        this.settings = settings;
+        this.witness = witness;
+        module = new Decide(settings, seed, this);
+        tellList(ListKind.CACHED, known);
         if (!settings.asksForList()) {
             watch.run();
         }
@@ -143,10 +113,11 @@
 
     // ---- what happens ----
 
-    public void request(Request request, Message message, Client client) {
-        Open open = new Open(request, message, client);
+    public void request(Request request, Carrier carrier, Client client) {
+        Open open = new Open(request, carrier, client);
         table.put(request.id(), open);
-        open.overdue = after(request.deadlineMs() - clock.now() + OVERDUE_MS, () -> overdue(open));
+        witness.taken(request);
+        open.overdue = time.after(request.deadlineMs() - time.now() + OVERDUE_MS, () -> overdue(open));
         raise(open, now -> module.onRequest(now, request));
     }
 
@@ -154,7 +125,7 @@
     public void clientGone(String id) {
         Open open = table.get(id);
         if (open != null && !open.concluded) {
-            conclude(open);
+            conclude(open, Witness.Final.GONE, 0);
             raise(open, now -> module.onClientGone(now, id));
         }
     }
@@ -168,7 +139,7 @@
 
     /** Fails a request without the module, and lets the module know that it owes nothing any more. */
     private void abandon(Open open) {
-        conclude(open);
+        conclude(open, Witness.Final.FAILED, 0);
         open.client.failed();
         raise(open, now -> module.onClientGone(now, open.request.id()));
     }
@@ -189,7 +160,7 @@
         if (settings.asksForList()) {
             raise(null, now -> module.onServers(now, ListKind.FAILED, List.of()));
         } else {
-            after(AGENT_PAUSE_MS, watch);
+            time.after(AGENT_PAUSE_MS, watch);
         }
     }
 
@@ -210,7 +181,7 @@
 
     private void tell(Open open, Event event) {
         try {
-            event.tell(clock.now());
+            event.tell(time.now());
         } catch (RuntimeException e) {
             complaints.bug("the decision module failed", e);
             if (open != null && !open.concluded && open.out == 0) {
@@ -231,10 +202,11 @@
             complaints.log("an attempt for a request that is not open", id);
             return;
         }
-        double now = clock.now();
+        double now = time.now();
         Try made = new Try(open.tries.size(), server, now);
         open.tries.add(made);
         open.out++;
+        witness.sent(id, made.number, server, timeoutMs);
         double left = open.request.deadlineMs() - now;
         double wait = timeoutMs == 0 ? left : Math.min(timeoutMs, left);
         if (open.concluded || left <= 0 || open.tries.size() > settings.limits().tries()) {
@@ -242,9 +214,9 @@
         } else if (wait <= 0) {
             end(open, made, Outcome.TIMED_OUT);
         } else {
-            made.timeout = after(wait, () -> giveUp(open, made, Outcome.TIMED_OUT));
+            made.timeout = time.after(wait, () -> giveUp(open, made, Outcome.TIMED_OUT));
             try {
-                made.attempt = endpoints.send(server, message(open.message, wait), (outcome, answer) -> {
+                made.attempt = open.carrier.send(server, wait, (outcome, answer) -> {
                     if (answer != null && !open.concluded) {
                         pass(open, outcome, answer);
                     }
@@ -259,23 +231,16 @@
     }
 
     /** Passes an answer on where it is the last word on its request. */
-    private void pass(Open open, Outcome outcome, AnswerReader.Answer answer) {
+    private void pass(Open open, Outcome outcome, Answer answer) {
         if (outcome == Outcome.OK) {
-            conclude(open);
+            conclude(open, Witness.Final.SERVED, 0);
             open.client.served(answer);
         } else if (outcome == Outcome.IGNORED) {
-            conclude(open);
+            conclude(open, Witness.Final.TURNED_AWAY, 0);
             open.client.turnedAway(answer.status());
         }
     }
 
-    private static FullHttpRequest message(Message from, double waitMs) {
-        HttpHeaders headers = from.headers().copy();
-        headers.set(Frontend.DEADLINE, (long) Math.ceil(waitMs));
-        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(),
-            Unpooled.wrappedBuffer(from.body()), headers, EmptyHttpHeaders.INSTANCE);
-    }
-
     /** Stops waiting for an attempt. One that was not written whole is known not to have run. */
     private void giveUp(Open open, Try made, Outcome outcome) {
         if (!made.ended) {
@@ -290,9 +255,10 @@
         }
         made.ended = true;
         if (made.timeout != null) {
-            made.timeout.cancel(false);
+            made.timeout.cancel();
         }
-        double took = clock.now() - made.sentAt;
+        witness.ended(open.request.id(), made.number, outcome);
+        double took = time.now() - made.sentAt;
         raise(open, now -> {
             open.out--;
             module.onFinished(now, new Finished(open.request.id(), made.number, made.server, outcome, took,
@@ -300,16 +266,17 @@
         });
     }
 
-    private void conclude(Open open) {
+    private void conclude(Open open, Witness.Final end, double coolDownMs) {
         open.concluded = true;
-        open.overdue.cancel(false);
+        open.overdue.cancel();
+        witness.concluded(open.request.id(), end, coolDownMs);
     }
 
     @Override
     public void refuse(String id, double coolDownMs) {
         Open open = table.get(id);
         if (open != null && !open.concluded) {
-            conclude(open);
+            conclude(open, Witness.Final.REFUSED, coolDownMs);
             open.client.refused(coolDownMs);
         }
     }
@@ -318,7 +285,7 @@
     public void fail(String id) {
         Open open = table.get(id);
         if (open != null && !open.concluded) {
-            conclude(open);
+            conclude(open, Witness.Final.FAILED, 0);
             open.client.failed();
         }
     }
@@ -333,7 +300,7 @@
 
     @Override
     public void timer(double inMs, long name) {
-        after(inMs, () -> raise(null, now -> module.onTimer(now, name)));
+        time.after(inMs, () -> raise(null, now -> module.onTimer(now, name)));
     }
 
     @Override
@@ -350,8 +317,4 @@
     public void log(String line) {
         complaints.say(line);
     }
-
-    private Future<?> after(double ms, Runnable task) {
-        return loop.schedule(task, (long) (Math.max(0, ms) * 1e6), TimeUnit.NANOSECONDS);
-    }
 }
--- a/sidecar/src/main/java/martenlatch/membership/DiscoveryClient.java
+++ b/sidecar/src/main/java/martenlatch/membership/DiscoveryClient.java
@@ -42,18 +42,11 @@
     private static final int SILENCE_MS = 2_000;
     private static final int MOST_BODY = 4 * 1024 * 1024;
 
-    /** What comes of the watch. */
-    public interface Listener {
-        void listed(ServerList list);
-
-        void failed();
-    }
-
     private final EventLoop loop;
-    private final ServerList.Names names;
+    private final RegistryList.Names names;
     private final Complaints complaints;
     private final Bootstrap bootstrap;
-    private Listener listener;
+    private ServerList.Listener listener;
     private InetSocketAddress address;
     /** What is known of the list at this address; none calls for the whole of it. */
     private OptionalLong version = OptionalLong.empty();
@@ -61,7 +54,7 @@
     /** Set while a call is out. */
     private Future<?> silence;
 
-    public DiscoveryClient(EventLoop loop, InetSocketAddress address, ServerList.Names names,
+    public DiscoveryClient(EventLoop loop, InetSocketAddress address, RegistryList.Names names,
             Complaints complaints) {
         this.loop = loop;
         this.address = address;
@@ -81,7 +74,7 @@
     }
 
     /** Who hears of lists, and which version is known already. */
-    public void listen(Listener hearer, long known) {
+    public void listen(ServerList.Listener hearer, long known) {
         listener = hearer;
         version = OptionalLong.of(known);
     }
@@ -174,7 +167,7 @@
             }
             ServerList list;
             try {
-                list = ServerList.parse(ByteBufUtil.getBytes(answer.content()), names);
+                list = RegistryList.parse(ByteBufUtil.getBytes(answer.content()), names);
             } catch (IOException | IllegalArgumentException e) {
                 fail(e.getMessage());
                 return;
--- /dev/null
+++ b/sidecar/src/main/java/martenlatch/membership/RegistryList.java
@@ -0,0 +1,86 @@
+package martenlatch.membership;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import martenlatch.config.Fields;
+import martenlatch.config.SettingsReader;
+import martenlatch.host.ServerList;
+import martenlatch.policy.Contract.Server;
+import martenlatch.policy.Contract.State;
+
+/** Reads lists of endpoints in discovery's form. */
+public final class RegistryList {
+
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private RegistryList() {
+    }
+
+    /** The names of the zones and kinds, whose places in the settings stand for them. */
+    public record Names(List<String> zones, List<String> kinds) {
+    }
+
+    public static ServerList parse(byte[] json, Names names) throws IOException {
+        try (JsonParser in = JSON.createParser(json)) {
+            in.nextToken();
+            if (!(in.currentToken() != null && SettingsReader.value(in) instanceof Map<?, ?> list)) {
+                throw new IOException("the list of endpoints is no object");
+            }
+            return of(list, names);
+        }
+    }
+
+    public static ServerList of(Map<?, ?> list, Names names) {
+        if (!(list.get("version") instanceof Double version)) {
+            throw Fields.bad("version", list.get("version"));
+        }
+        if (!(list.get("full") instanceof Boolean full)) {
+            throw Fields.bad("full", list.get("full"));
+        }
+        if (!(list.get("servers") instanceof List<?> lines)) {
+            throw Fields.bad("servers", list.get("servers"));
+        }
+        List<ServerList.Entry> entries = new ArrayList<>();
+        for (Object line : lines) {
+            if (!(line instanceof Map<?, ?> fields)) {
+                throw Fields.bad("servers[]", line);
+            }
+            entries.add(entry(fields, names));
+        }
+        return new ServerList(version.longValue(), full, entries);
+    }
+
+    private static ServerList.Entry entry(Map<?, ?> fields, Names names) {
+        if (!(fields.get("id") instanceof String id)) {
+            throw Fields.bad("servers[].id", fields.get("id"));
+        }
+        State state = switch (String.valueOf(fields.get("state"))) {
+            case "in_service" -> State.READY;
+            case "terminating" -> State.DRAINING;
+            case "terminated" -> State.GONE;
+            default -> throw Fields.bad("servers[].state", fields.get("state"));
+        };
+        // Of an endpoint that is gone nothing but its id need be told.
+        InetSocketAddress address = state == State.GONE ? null
+            : Fields.address("servers[].addr", fields.get("addr"));
+        return new ServerList.Entry(new Server(id, names.zones().indexOf(fields.get("zone")),
+            names.kinds().indexOf(fields.get("kind")), (int) number(fields, "cell", 0),
+            number(fields, "started_ms", 0), state, number(fields, "weight", 1)), address);
+    }
+
+    private static double number(Map<?, ?> fields, String name, double absent) {
+        Object value = fields.get(name);
+        if (value == null) {
+            return absent;
+        }
+        if (value instanceof Double number) {
+            return number;
+        }
+        throw Fields.bad("servers[]." + name, value);
+    }
+}
--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -13,10 +13,12 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import martenlatch.front.http.Frontend;
-import martenlatch.host.Clock;
 import martenlatch.host.Complaints;
 import martenlatch.host.Exchange;
+import martenlatch.host.Time;
+import martenlatch.host.Witness;
 import martenlatch.membership.DiscoveryClient;
+import martenlatch.net.LoopTime;
 import martenlatch.policy.Contract.RequestClass;
 import martenlatch.upstream.EndpointPool;
 
@@ -81,15 +83,16 @@
         for (RequestClass kind : config.settings().classes()) {
             mostDeadlineMs = Math.max(mostDeadlineMs, (long) kind.deadlineMs());
         }
-        Clock clock = new Clock();
-        Complaints complaints = new Complaints(clock, log);
+        Time time = new LoopTime(loop);
+        Complaints complaints = new Complaints(time, log);
         int half = Math.max(LEAST_CONNECTIONS, (config.sockets() - openFiles() - SPARE_SOCKETS) / 2);
-        endpoints = new EndpointPool(loop, clock, complaints,
+        endpoints = new EndpointPool(loop, time, complaints,
             config.settings().limits().connectTimeoutMs(), config.idleCloseMs(), half);
         discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints);
-        exchange = new Exchange(loop, clock, complaints, endpoints, discovery::watch, config);
+        exchange = new Exchange(time, complaints, endpoints, discovery::watch, config.settings(),
+            config.seed(), config.known(), Witness.NONE);
         discovery.listen(exchange, config.known().version());
-        frontend = new Frontend(loop, clock, complaints, exchange, config.settings(),
+        frontend = new Frontend(loop, time, complaints, exchange, endpoints, config.settings(),
             Math.max(LEAST_CONNECTIONS, half - Frontend.OVERFLOW));
     }
 
--- a/sidecar/src/main/java/martenlatch/sidecar/SidecarConfig.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/SidecarConfig.java
@@ -11,8 +11,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import martenlatch.config.Fields;
 import martenlatch.config.SettingsReader;
 import martenlatch.host.ServerList;
+import martenlatch.membership.RegistryList;
 import martenlatch.policy.Contract.Settings;
 
 /**
@@ -22,7 +24,7 @@
  * @param idleCloseMs after how long at most an endpoint closes an idle connection
  */
 public record SidecarConfig(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        double idleCloseMs, ServerList.Names names, ServerList known, Settings settings) {
+        double idleCloseMs, RegistryList.Names names, ServerList known, Settings settings) {
 
     /** Reads the file; anything missing or bad is an exception whose message names field and value. */
     public static SidecarConfig read(Path file) throws IOException {
@@ -45,20 +47,20 @@
         object("settings.rules", settings.get("rules"));
         positive("settings.limits.dial-timeout-ms", limits.get("dial-timeout-ms"));
         positive("settings.limits.try-limit", limits.get("try-limit"));
-        ServerList.Names names = new ServerList.Names(words("settings.azs", settings.get("azs")),
+        RegistryList.Names names = new RegistryList.Names(words("settings.azs", settings.get("azs")),
             words("settings.models", settings.get("models")));
-        return new SidecarConfig(ServerList.address("listen", config.get("listen")),
-            ServerList.address("discovery", config.get("discovery")), seed(config.get("seed")),
+        return new SidecarConfig(Fields.address("listen", config.get("listen")),
+            Fields.address("discovery", config.get("discovery")), seed(config.get("seed")),
             (int) positive("limits.sockets", object("limits", config.get("limits")).get("sockets")),
             positive("settings.limits.idle-close-ms", limits.get("idle-close-ms")), names,
-            ServerList.of(object("known", config.get("known")), names), SettingsReader.settings(settings));
+            RegistryList.of(object("known", config.get("known")), names), SettingsReader.settings(settings));
     }
 
     private static long seed(Object value) {
         try {
             return Long.parseUnsignedLong(value instanceof String text ? text : "", 16);
         } catch (NumberFormatException e) {
-            throw ServerList.bad("seed", value);
+            throw Fields.bad("seed", value);
         }
     }
 
@@ -66,7 +68,7 @@
         if (value instanceof Double number && number > 0) {
             return number;
         }
-        throw ServerList.bad(field, value);
+        throw Fields.bad(field, value);
     }
 
     @SuppressWarnings("unchecked")
@@ -74,12 +76,12 @@
         if (value instanceof Map<?, ?> map) {
             return (Map<String, Object>) map;
         }
-        throw ServerList.bad(field, value);
+        throw Fields.bad(field, value);
     }
 
     private static List<String> words(String field, Object value) {
         if (!(value instanceof List<?> list)) {
-            throw ServerList.bad(field, value);
+            throw Fields.bad(field, value);
         }
         List<String> words = new ArrayList<>();
         for (Object word : list) {
--- a/sidecar/src/main/java/martenlatch/sidecar/Warmup.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Warmup.java
@@ -29,12 +29,15 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import martenlatch.front.CallReader;
 import martenlatch.front.http.Frontend;
-import martenlatch.host.Clock;
 import martenlatch.host.Complaints;
 import martenlatch.host.Exchange;
 import martenlatch.host.ServerList;
+import martenlatch.host.Time;
+import martenlatch.host.Witness;
 import martenlatch.net.Buffers;
+import martenlatch.net.LoopTime;
 import martenlatch.policy.Contract.Effect;
 import martenlatch.policy.Contract.RequestClass;
 import martenlatch.policy.Contract.Server;
@@ -96,15 +99,16 @@
     }
 
     private void startSidecar(InetSocketAddress at) {
-        Clock clock = new Clock();
-        Complaints silent = new Complaints(clock, new PrintStream(OutputStream.nullOutputStream()));
+        Time time = new LoopTime(loop);
+        Complaints silent = new Complaints(time, new PrintStream(OutputStream.nullOutputStream()));
         ServerList list = new ServerList(0, true, List.of(new ServerList.Entry(
             new Server("warm-up", config.settings().ownZone(), 0, 0, 0, State.READY, 1), at)));
         SidecarConfig own = new SidecarConfig(ephemeral(), at, config.seed(), config.sockets(),
             config.idleCloseMs(), config.names(), list, config.settings());
-        pool = new EndpointPool(loop, clock, silent, MOST_MS, config.idleCloseMs(), config.sockets());
-        Exchange exchange = new Exchange(loop, clock, silent, pool, () -> { }, own);
-        frontend = new Frontend(loop, clock, silent, exchange, config.settings(), config.sockets());
+        pool = new EndpointPool(loop, time, silent, MOST_MS, config.idleCloseMs(), config.sockets());
+        Exchange exchange = new Exchange(time, silent, pool, () -> { }, own.settings(), own.seed(),
+            own.known(), Witness.NONE);
+        frontend = new Frontend(loop, time, silent, exchange, pool, config.settings(), config.sockets());
         ChannelFuture bound = frontend.listen(own.listen());
         bound.addListener(up -> {
             if (up.isSuccess() && !over) {
@@ -145,7 +149,7 @@
             safe ? HttpMethod.GET : HttpMethod.POST, "/api",
             safe ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(new byte[128]));
         request.headers().set("X-Request-Id", "warm-up-" + rounds).set("X-Class", kind.name())
-            .set(Frontend.DEADLINE, MOST_MS).set("Host", "warm-up").set("Cookie", "key=0")
+            .set(CallReader.DEADLINE, MOST_MS).set("Host", "warm-up").set("Cookie", "key=0")
             .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         if (!config.settings().tenants().isEmpty()) {
             request.headers().set("X-Tenant", config.settings().tenants().get(0).name());
--- a/sidecar/src/main/java/martenlatch/upstream/AnswerReader.java
+++ b/sidecar/src/main/java/martenlatch/upstream/AnswerReader.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import martenlatch.host.Answer;
 
 /**
  * Reads the one answer that a connection to an endpoint waits for. It is told once all that has come with it
@@ -28,10 +29,6 @@
     /** Answers 1xx ahead of the final one; more are no good sign. */
     private static final int MOST_INTERIM = 16;
 
-    /** A final answer as it came. */
-    public record Answer(int status, boolean notRun, boolean keepAlive, String contentType, byte[] body) {
-    }
-
     /** What comes of it. */
     public interface Listener {
         /** The answer is whole; {@code clean} if nothing came with it, so that the connection may go on. */
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
@@ -1,15 +1,20 @@
 package martenlatch.upstream;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.util.concurrent.Future;
+import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -20,44 +25,46 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import martenlatch.host.Clock;
+import martenlatch.host.Answer;
+import martenlatch.host.Carrier;
 import martenlatch.host.Complaints;
+import martenlatch.host.EndpointTable;
 import martenlatch.host.ServerList;
+import martenlatch.host.Time;
 import martenlatch.net.Buffers;
 import martenlatch.policy.Contract.Outcome;
 import martenlatch.policy.Contract.State;
-import martenlatch.upstream.AnswerReader.Answer;
 
 /** The connections to each endpoint: one request at a time on each, kept alive, bounded in all. */
-public final class EndpointPool {
+public final class EndpointPool implements EndpointTable {
 
     /** An idle connection is closed at this part of the time after which the endpoint may close it. */
     private static final double IDLE_SHARE = 0.5;
     private static final int SWEEPS = 10;
+    /** Tells the endpoint how long its answer is waited for, in whole milliseconds. */
+    private static final String DEADLINE = "X-Deadline-Ms";
     /** Bytes that don't belong to an answer may come a little after it: no connection is used before. */
     private static final double SETTLE_MS = 1;
 
-    /** How an attempt ended; it is told once, and never after {@link Attempt#giveUp}. */
-    public interface Ending {
-        /** The answer is null where none came. */
-        void ended(Outcome outcome, Answer answer);
+    /** What a client sent, beyond what the module decides by. */
+    public record Message(HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
     }
 
     /** One request on its way to an endpoint. */
-    public final class Attempt {
+    private final class Attempt implements Carrier.Attempt {
         private final FullHttpRequest request;
-        private Ending ending;
+        private Carrier.Ending ending;
         private Connection connection;
         /** The last byte has been handed to the network: from here on the request may have run. */
         private boolean written;
 
-        private Attempt(FullHttpRequest request, Ending ending) {
+        private Attempt(FullHttpRequest request, Carrier.Ending ending) {
             this.request = request;
             this.ending = ending;
         }
 
-        /** Stops waiting and closes the connection, which tells the endpoint; true if it may have run. */
+        /** Closes the connection, which tells the endpoint. */
+        @Override
         public boolean giveUp() {
             ending = null;
             connection.close();
@@ -65,7 +72,7 @@
         }
 
         private void end(Outcome outcome, Answer answer) {
-            Ending told = ending;
+            Carrier.Ending told = ending;
             ending = null;
             if (told != null) {
                 told.ended(outcome, answer);
@@ -83,7 +90,7 @@
         int generation;
     }
 
-    private final Clock clock;
+    private final Time time;
     private final Complaints complaints;
     private final Bootstrap bootstrap;
     private final double idleMs;
@@ -91,12 +98,12 @@
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     /** All idle connections, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
-    private final Future<?> sweeping;
+    private Time.Timer sweeping;
     private int open;
 
-    public EndpointPool(EventLoop loop, Clock clock, Complaints complaints, double dialMs, double idleCloseMs,
+    public EndpointPool(EventLoop loop, Time time, Complaints complaints, double dialMs, double idleCloseMs,
             int most) {
-        this.clock = clock;
+        this.time = time;
         this.complaints = complaints;
         this.most = most;
         idleMs = idleCloseMs * IDLE_SHARE;
@@ -104,11 +111,18 @@
             .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(dialMs));
-        long sweep = (long) Math.ceil(idleMs / SWEEPS);
-        sweeping = loop.scheduleWithFixedDelay(this::closeStale, sweep, sweep, TimeUnit.MILLISECONDS);
+        sweep();
+    }
+
+    private void sweep() {
+        sweeping = time.after(idleMs / SWEEPS, () -> {
+            closeStale();
+            sweep();
+        });
     }
 
     /** Takes in where endpoints listen; connections to a process or address that is no more are dropped. */
+    @Override
     public void update(ServerList list) {
         if (list.full()) {
             Set<String> named = new HashSet<>();
@@ -163,6 +177,7 @@
     }
 
     /** Closes the idle connections to an endpoint. */
+    @Override
     public void disconnect(String id) {
         Endpoint endpoint = endpoints.get(id);
         if (endpoint != null) {
@@ -176,8 +191,20 @@
         }
     }
 
+    /** What sends the attempts of one call, all with the same message. */
+    public Carrier carrier(Message message) {
+        return (server, waitMs, ending) -> send(server, whole(message, waitMs), ending);
+    }
+
+    private static FullHttpRequest whole(Message from, double waitMs) {
+        HttpHeaders headers = from.headers().copy();
+        headers.set(DEADLINE, (long) Math.ceil(waitMs));
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(),
+            Unpooled.wrappedBuffer(from.body()), headers, EmptyHttpHeaders.INSTANCE);
+    }
+
     /** Sends a request once, on an idle connection or a new one. It may end before this returns. */
-    public Attempt send(String id, FullHttpRequest request, Ending ending) {
+    private Attempt send(String id, FullHttpRequest request, Carrier.Ending ending) {
         Attempt attempt = new Attempt(request, ending);
         Endpoint endpoint = endpoints.get(id);
         closeStale();
@@ -196,7 +223,7 @@
 
     /** The most recently used idle connection that is still in good order; others are closed. */
     private Connection reusable(Endpoint endpoint) {
-        double settled = clock.now() - SETTLE_MS;
+        double settled = time.now() - SETTLE_MS;
         List<Connection> stale = new ArrayList<>();
         Connection found = null;
         for (var newest = endpoint.idle.descendingIterator(); newest.hasNext() && found == null;) {
@@ -228,7 +255,7 @@
     }
 
     private void closeStale() {
-        double before = clock.now() - idleMs;
+        double before = time.now() - idleMs;
         while (!idle.isEmpty() && idle.iterator().next().idleSince < before) {
             closeLongestIdle();
         }
@@ -236,7 +263,7 @@
 
     /** Lets go of all idle connections; no more are looked after. */
     public void close() {
-        sweeping.cancel(false);
+        sweeping.cancel();
         endpoints.values().forEach(EndpointPool::closeAll);
     }
 
@@ -326,7 +353,7 @@
             attempt = null;
             // First the connection, then the word: what it leads to may need the connection.
             if (clean && answer.keepAlive() && channel.isActive() && generation == endpoint.generation) {
-                idleSince = clock.now();
+                idleSince = time.now();
                 endpoint.idle.addLast(this);
                 idle.add(this);
             } else {
