External processor: the same decisions for other proxies, over Envoy's ext_proc

Need: practices that keep their own edge proxy want our routing and refusals without our sidecar in the path.

Change: a module and jar of its own (gRPC and the proxy API stay out of the platform's jar). Processor is a front: a stream is a consultation, a consultation is one attempt that the proxy makes. Consultations says, with no I/O, what a consultation is, given what is known of its id: first, next, in hand, may have run, full; what never ran is remembered too, so that a later attempt of it is not taken for one that a program before us decided on. ProxyOutcome reads response flags; only flags that all say that nothing was sent mean never ran. Consultations are decided after all that was received with them is read, so that what a proxy has given up during a pause of ours is never decided. StandInProxy speaks the published protocol.

--- /dev/null
+++ b/extproc/src/main/java/martenlatch/front/extproc/EndpointAddresses.java
@@ -0,0 +1,52 @@
+package martenlatch.front.extproc;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import martenlatch.host.EndpointTable;
+import martenlatch.host.ServerList;
+import martenlatch.policy.Contract.State;
+
+/** Where proxies find the endpoints that may get something new. */
+final class EndpointAddresses implements EndpointTable {
+
+    private final Map<String, String> ready = new HashMap<>();
+
+    @Override
+    public void update(ServerList list) {
+        if (list.full()) {
+            Set<String> named = new HashSet<>();
+            list.entries().forEach(entry -> named.add(entry.server().id()));
+            ready.keySet().retainAll(named);
+        }
+        for (ServerList.Entry entry : list.entries()) {
+            if (entry.server().state() == State.READY) {
+                ready.put(entry.server().id(), text(entry.address()));
+            } else {
+                ready.remove(entry.server().id());
+            }
+        }
+    }
+
+    private static String text(InetSocketAddress address) {
+        String host = address.getAddress().getHostAddress();
+        return (host.indexOf(':') < 0 ? host : "[" + host + "]") + ":" + address.getPort();
+    }
+
+    /** Where an endpoint listens, or null if nothing new may go there. */
+    String of(String server) {
+        return ready.get(server);
+    }
+
+    int size() {
+        return ready.size();
+    }
+
+    @Override
+    public void disconnect(String server) {
+        // The proxies' connections are their own; they close them when they are idle.
+        return;
+    }
+}
--- /dev/null
+++ b/extproc/src/main/java/martenlatch/front/extproc/Main.java
@@ -0,0 +1,82 @@
+package martenlatch.front.extproc;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import martenlatch.config.Fields;
+import martenlatch.net.LoopTime;
+import martenlatch.world.StandInProxy;
+import sun.misc.Signal;
+
+/** The command line of the external processor and of the proxy that stands in for a real one. */
+public final class Main {
+
+    private static final String USAGE = """
+        usage: java -jar martenlatch-extproc.jar extproc SETTINGS.toml
+                 one external processor until SIGTERM; GW_CONFIG names the site's configuration
+               java -jar martenlatch-extproc.jar proxy LISTEN PROCESSOR
+                 a stand-in proxy that consults it, to try it by hand; both are like 127.0.0.1:9901""";
+
+    private Main() {
+    }
+
+    /** Runs a command; what cannot be used is one plain line and a status above 0. */
+    public static void main(String[] args) {
+        int status = run(args, System.getenv("GW_CONFIG"), System.err);
+        if (status != 0) {
+            System.exit(status);
+        }
+    }
+
+    static int run(String[] args, String configFile, PrintStream errors) {
+        try {
+            if (args.length == 2 && args[0].equals("extproc")) {
+                extproc(configFile, Path.of(args[1]), errors);
+            } else if (args.length == 3 && args[0].equals("proxy")) {
+                proxy(Fields.address("LISTEN", args[1]), Fields.address("PROCESSOR", args[2]), errors);
+            } else {
+                errors.println(USAGE);
+                return 2;
+            }
+            return 0;
+        } catch (IOException | RuntimeException e) {
+            errors.println("martenlatch: " + (e.getMessage() == null ? e.toString()
+                : e.getMessage().lines().findFirst().orElse("")));
+            return 1;
+        }
+    }
+
+    private static void extproc(String configFile, Path settings, PrintStream log) throws IOException {
+        // Before all else: until there is a handler, SIGHUP ends the program.
+        CompletableFuture<ExtProcServer> running = new CompletableFuture<>();
+        Signal.handle(new Signal("HUP"), signal -> running.thenAccept(ExtProcServer::reload));
+        if (configFile == null || configFile.isBlank()) {
+            throw new IllegalArgumentException("GW_CONFIG must name the configuration file but is "
+                + configFile);
+        }
+        ExtProcServer server = ExtProcServer.start(Path.of(configFile), settings, log);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            server.drain();
+            Runtime.getRuntime().halt(0);
+        }, "drain"));
+        running.complete(server);
+    }
+
+    private static void proxy(InetSocketAddress listen, InetSocketAddress processor, PrintStream log)
+            throws IOException {
+        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        var bound = new StandInProxy(loop, new LoopTime(loop), processor,
+            new StandInProxy.Options(100, 250, 3, StandInProxy.WhenAway.FAIL, null),
+            StandInProxy.Conduct.GOOD).listen(listen).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            loop.parent().shutdownGracefully();
+            throw new IOException("cannot listen on " + listen + ": " + bound.cause().getMessage());
+        }
+        log.println("martenlatch: stand-in proxy listens on " + bound.channel().localAddress());
+    }
+}
--- /dev/null
+++ b/extproc/src/main/java/martenlatch/front/extproc/Replies.java
@@ -0,0 +1,90 @@
+package martenlatch.front.extproc;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.Struct;
+import com.google.protobuf.Value;
+import io.envoyproxy.envoy.config.core.v3.HeaderValue;
+import io.envoyproxy.envoy.config.core.v3.HeaderValueOption;
+import io.envoyproxy.envoy.config.core.v3.HeaderValueOption.HeaderAppendAction;
+import io.envoyproxy.envoy.service.ext_proc.v3.CommonResponse;
+import io.envoyproxy.envoy.service.ext_proc.v3.HeaderMutation;
+import io.envoyproxy.envoy.service.ext_proc.v3.HeadersResponse;
+import io.envoyproxy.envoy.service.ext_proc.v3.ImmediateResponse;
+import io.envoyproxy.envoy.service.ext_proc.v3.ProcessingResponse;
+import io.envoyproxy.envoy.type.v3.HttpStatus;
+import io.envoyproxy.envoy.type.v3.StatusCode;
+import java.util.Locale;
+import martenlatch.front.CallReader;
+
+/** The messages that a proxy gets. */
+final class Replies {
+
+    /** Names the endpoint, as the Gateway API's endpoint picker protocol does. */
+    static final String DESTINATION = "x-gateway-destination-endpoint";
+    /** Where that protocol has the same as dynamic metadata. */
+    static final String METADATA = "envoy.lb";
+    /** Overrides the route's time-out at an Envoy router; whole milliseconds. */
+    static final String TIMEOUT = "x-envoy-upstream-rq-timeout-ms";
+    /** On a response: the proxy may send the request again, and is to ask again for it. */
+    static final String RETRY = "x-martenlatch-retry";
+
+    /** The response goes on as it is. */
+    static final ProcessingResponse PASS = ProcessingResponse.newBuilder()
+        .setResponseHeaders(HeadersResponse.getDefaultInstance()).build();
+
+    private Replies() {
+    }
+
+    /** The request goes to an endpoint, which has so long for its answer; whole milliseconds, rounded up. */
+    static ProcessingResponse send(String address, double waitMs) {
+        String wait = Long.toString(Math.max(1, (long) Math.ceil(waitMs)));
+        return ProcessingResponse.newBuilder()
+            .setRequestHeaders(HeadersResponse.newBuilder().setResponse(CommonResponse.newBuilder()
+                .setHeaderMutation(HeaderMutation.newBuilder()
+                    .addSetHeaders(header(DESTINATION, address))
+                    .addSetHeaders(header(CallReader.DEADLINE.toLowerCase(Locale.ROOT), wait))
+                    .addSetHeaders(header(TIMEOUT, wait)))))
+            .setDynamicMetadata(Struct.newBuilder().putFields(METADATA, Value.newBuilder()
+                .setStructValue(Struct.newBuilder().putFields(DESTINATION,
+                    Value.newBuilder().setStringValue(address).build())).build()))
+            .build();
+    }
+
+    /** The response may be tried again; its status is what its client gets if the proxy does not. */
+    static ProcessingResponse retriable(int status) {
+        return ProcessingResponse.newBuilder()
+            .setResponseHeaders(HeadersResponse.newBuilder().setResponse(CommonResponse.newBuilder()
+                .setHeaderMutation(HeaderMutation.newBuilder()
+                    .addSetHeaders(header(":status", Integer.toString(status)))
+                    .addSetHeaders(header(RETRY, "1")))))
+            .build();
+    }
+
+    /** Turned away, with no effect; RFC 9110, section 10.2.3, has whole seconds, so they are rounded up. */
+    static ProcessingResponse refusal(double coolDownMs) {
+        ImmediateResponse.Builder made = immediate(503, "refused");
+        if (coolDownMs > 0) {
+            made.setHeaders(HeaderMutation.newBuilder().addSetHeaders(header("retry-after",
+                Long.toString((long) Math.ceil(coolDownMs / 1000)))));
+        }
+        return ProcessingResponse.newBuilder().setImmediateResponse(made).build();
+    }
+
+    /** An answer of our own, with its reason in words. */
+    static ProcessingResponse plain(int status, String why) {
+        return ProcessingResponse.newBuilder().setImmediateResponse(immediate(status, why)).build();
+    }
+
+    private static ImmediateResponse.Builder immediate(int status, String why) {
+        return ImmediateResponse.newBuilder()
+            .setStatus(HttpStatus.newBuilder().setCode(StatusCode.forNumber(status)))
+            .setBody(ByteString.copyFromUtf8(why + "\n"))
+            .setDetails("martenlatch: " + why);
+    }
+
+    private static HeaderValueOption header(String name, String value) {
+        return HeaderValueOption.newBuilder()
+            .setHeader(HeaderValue.newBuilder().setKey(name).setRawValue(ByteString.copyFromUtf8(value)))
+            .setAppendAction(HeaderAppendAction.OVERWRITE_IF_EXISTS_OR_ADD).build();
+    }
+}
--- /dev/null
+++ b/extproc/src/test/java/martenlatch/front/extproc/Desk.java
@@ -0,0 +1,277 @@
+package martenlatch.front.extproc;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.Struct;
+import com.google.protobuf.Value;
+import io.envoyproxy.envoy.config.core.v3.HeaderMap;
+import io.envoyproxy.envoy.config.core.v3.HeaderValue;
+import io.envoyproxy.envoy.config.core.v3.HeaderValueOption;
+import io.envoyproxy.envoy.service.ext_proc.v3.HeaderMutation;
+import io.envoyproxy.envoy.service.ext_proc.v3.HttpHeaders;
+import io.envoyproxy.envoy.service.ext_proc.v3.ProcessingRequest;
+import io.envoyproxy.envoy.service.ext_proc.v3.ProcessingResponse;
+import io.grpc.Status;
+import io.grpc.stub.ServerCallStreamObserver;
+import io.grpc.stub.StreamObserver;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import martenlatch.host.Complaints;
+import martenlatch.host.Exchange;
+import martenlatch.host.ServerList;
+import martenlatch.host.Witness;
+import martenlatch.policy.Contract.Effect;
+import martenlatch.policy.Contract.Group;
+import martenlatch.policy.Contract.Limits;
+import martenlatch.policy.Contract.RequestClass;
+import martenlatch.policy.Contract.Rules;
+import martenlatch.policy.Contract.Server;
+import martenlatch.policy.Contract.Settings;
+import martenlatch.policy.Contract.State;
+
+/** A processor with no sockets, on a clock that the test moves, and the streams that consult it. */
+final class Desk {
+
+    static final ExtProcSettings OWN = new ExtProcSettings(new InetSocketAddress("127.0.0.1", 0), 200, 2000,
+        300, 10_000, 1000, 100, 250);
+    static final RequestClass READ =
+        new RequestClass("read", 200, 3000, 1, 0.5, Effect.REPEATABLE, Group.ALL, 0, false);
+    static final RequestClass ORDER =
+        new RequestClass("order", 1000, 3000, 1, 0.5, Effect.ONCE, Group.ALL, 0, false);
+    static final RequestClass SAVE =
+        new RequestClass("save", 1000, 3000, 1, 0.5, Effect.BY_KEY, Group.CELL, 800, false);
+    static final RequestClass PUT =
+        new RequestClass("put", 1000, 3000, 1, 0.5, Effect.BY_KEY, Group.ALL, 5000, false);
+    static final Settings SITE = new Settings(1, 0, 0, 0, false, false, 0.1, 0,
+        List.of(READ, ORDER, SAVE, PUT), List.of(), new Limits(3, false, true, 2000, 200),
+        new Rules(0.3, 8000, 3, 1000, 500, 10_000));
+
+    final ManualTime time = new ManualTime();
+    final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    final EndpointAddresses addresses = new EndpointAddresses();
+    final ExtProcSettings own;
+    private final Deque<Runnable> tasks = new ArrayDeque<>();
+    Exchange exchange;
+    Processor processor;
+
+    Desk(Server... servers) {
+        this(OWN, servers);
+    }
+
+    Desk(ExtProcSettings own, Server... servers) {
+        this.own = own;
+        restart(servers);
+    }
+
+    /** A new program, that knows nothing of the old one's. */
+    void restart(Server... servers) {
+        tasks.clear();
+        Complaints complaints = new Complaints(time, new PrintStream(log, true, StandardCharsets.UTF_8));
+        exchange = new Exchange(time, complaints, addresses, () -> { }, SITE, 7, list(true, servers),
+            Witness.NONE);
+        processor = new Processor(time, tasks::add, complaints, exchange, addresses, own, SITE);
+    }
+
+    static Server server(int number) {
+        return server(number, State.READY);
+    }
+
+    static Server server(int number, State state) {
+        return new Server("s" + number, 0, 0, number, 0, state, 1);
+    }
+
+    static ServerList list(boolean full, Server... servers) {
+        List<ServerList.Entry> entries = new ArrayList<>();
+        for (Server server : servers) {
+            entries.add(new ServerList.Entry(server, new InetSocketAddress("10.0.0.1",
+                1 + Integer.parseInt(server.id().substring(1)))));
+        }
+        return new ServerList(1, full, entries);
+    }
+
+    void change(Server... servers) {
+        exchange.listed(list(false, servers));
+    }
+
+    /** Lets what was put off until later happen. */
+    void settle() {
+        for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
+            task.run();
+        }
+    }
+
+    // ---- messages ----
+
+    static HeaderValue value(String name, String value) {
+        return HeaderValue.newBuilder().setKey(name).setRawValue(ByteString.copyFromUtf8(value)).build();
+    }
+
+    static HeaderMap.Builder heads(String id, RequestClass kind, int attempt) {
+        HeaderMap.Builder map = HeaderMap.newBuilder()
+            .addHeaders(value(":method", kind.effect() == Effect.REPEATABLE ? "GET" : "POST"))
+            .addHeaders(value(":path", "/api")).addHeaders(value("x-request-id", id))
+            .addHeaders(value("x-class", kind.name())).addHeaders(value("x-deadline-ms", "1000"));
+        return attempt == 0 ? map
+            : map.addHeaders(value("x-envoy-attempt-count", Integer.toString(attempt)));
+    }
+
+    static ProcessingRequest request(HeaderMap.Builder heads) {
+        return ProcessingRequest.newBuilder().setRequestHeaders(HttpHeaders.newBuilder().setHeaders(heads))
+            .build();
+    }
+
+    static ProcessingRequest response(int status, int flags, String... more) {
+        HeaderMap.Builder map = HeaderMap.newBuilder().addHeaders(value(":status", status + ""));
+        for (int i = 0; i < more.length; i += 2) {
+            map.addHeaders(value(more[i], more[i + 1]));
+        }
+        ProcessingRequest.Builder made = ProcessingRequest.newBuilder()
+            .setResponseHeaders(HttpHeaders.newBuilder().setHeaders(map));
+        return flags == 0 ? made.build() : made.putAttributes("envoy.filters.http.ext_proc",
+            Struct.newBuilder().putFields("response.flags", Value.newBuilder().setNumberValue(flags).build())
+                .build()).build();
+    }
+
+    static final int TIMED_OUT = 1 << 2;
+    static final int NOT_CONNECTED = 1 << 5;
+    static final int BROKEN = 1 << 6;
+
+    Stream open() {
+        return new Stream();
+    }
+
+    /** Consults, and lets it be decided. */
+    Stream consult(String id, RequestClass kind, int attempt) {
+        Stream stream = open().say(request(heads(id, kind, attempt)));
+        settle();
+        return stream;
+    }
+
+    /** One stream as a proxy has it. */
+    final class Stream extends ServerCallStreamObserver<ProcessingResponse> {
+        final List<ProcessingResponse> told = new ArrayList<>();
+        Status error;
+        int ends;
+        private Runnable onCancel;
+        private boolean cancelled;
+        private final StreamObserver<ProcessingRequest> in = processor.process(this);
+
+        Stream say(ProcessingRequest message) {
+            in.onNext(message);
+            return this;
+        }
+
+        /** The proxy breaks it off. */
+        void breakOff() {
+            if (!cancelled && ends == 0) {
+                cancelled = true;
+                onCancel.run();
+                in.onError(Status.CANCELLED.asRuntimeException());
+            }
+        }
+
+        ProcessingResponse last() {
+            return told.get(told.size() - 1);
+        }
+
+        /** The status of the immediate response that ended it, or 0. */
+        int status() {
+            return told.isEmpty() ? 0 : last().getImmediateResponse().getStatus().getCodeValue();
+        }
+
+        /** The endpoint that it was told, or null. */
+        String endpoint() {
+            return told.isEmpty() ? null
+                : header(told.get(0).getRequestHeaders().getResponse().getHeaderMutation(),
+                    "x-gateway-destination-endpoint");
+        }
+
+        /** A header of the last message. */
+        String header(String name) {
+            HeaderMutation mutation = last().hasImmediateResponse()
+                ? last().getImmediateResponse().getHeaders()
+                : last().hasRequestHeaders() ? last().getRequestHeaders().getResponse().getHeaderMutation()
+                : last().getResponseHeaders().getResponse().getHeaderMutation();
+            return header(mutation, name);
+        }
+
+        private static String header(HeaderMutation mutation, String name) {
+            for (HeaderValueOption option : mutation.getSetHeadersList()) {
+                if (option.getHeader().getKey().equals(name)) {
+                    return option.getHeader().getRawValue().toStringUtf8();
+                }
+            }
+            return null;
+        }
+
+        boolean isPassedOn() {
+            return last().hasResponseHeaders() && !last().getResponseHeaders().hasResponse();
+        }
+
+        @Override
+        public void onNext(ProcessingResponse message) {
+            if (ends > 0) {
+                throw new IllegalStateException("a message after the end");
+            }
+            if (!cancelled) {
+                told.add(message);
+            }
+        }
+
+        @Override
+        public void onError(Throwable cause) {
+            ends++;
+            error = Status.fromThrowable(cause);
+        }
+
+        @Override
+        public void onCompleted() {
+            ends++;
+        }
+
+        @Override
+        public boolean isCancelled() {
+            return cancelled;
+        }
+
+        @Override
+        public void setOnCancelHandler(Runnable handler) {
+            onCancel = handler;
+        }
+
+        @Override
+        public void setCompression(String compression) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public boolean isReady() {
+            return true;
+        }
+
+        @Override
+        public void setOnReadyHandler(Runnable handler) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void request(int count) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void setMessageCompression(boolean enable) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void disableAutoInboundFlowControl() {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
--- /dev/null
+++ b/extproc/src/test/java/martenlatch/front/extproc/ProcessorTest.java
@@ -0,0 +1,415 @@
+package martenlatch.front.extproc;
+
+import static martenlatch.front.extproc.Desk.ORDER;
+import static martenlatch.front.extproc.Desk.READ;
+import static martenlatch.front.extproc.Desk.SAVE;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.envoyproxy.envoy.config.core.v3.HeaderMap;
+import io.envoyproxy.envoy.service.ext_proc.v3.HttpBody;
+import io.envoyproxy.envoy.service.ext_proc.v3.ProcessingRequest;
+import io.grpc.Status;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import martenlatch.policy.Contract.RequestClass;
+import martenlatch.policy.Contract.Server;
+import martenlatch.policy.Contract.State;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What proxies are told, message by message. */
+class ProcessorTest {
+
+    private final Desk desk = new Desk(Desk.server(0), Desk.server(1), Desk.server(2));
+    private final List<Desk.Stream> streams = new ArrayList<>();
+
+    private Desk.Stream consult(String id, RequestClass kind, int attempt) {
+        streams.add(desk.consult(id, kind, attempt));
+        return streams.get(streams.size() - 1);
+    }
+
+    /** Whatever happened: when every proxy has left and all time is over, nothing is held. */
+    @AfterEach
+    void nothingIsLeft() {
+        streams.forEach(Desk.Stream::breakOff);
+        desk.settle();
+        desk.time.advance(60_000);
+        assertEquals(List.of(0, 0, 0, 0), List.of(desk.processor.openStreams(), desk.processor.openCalls(),
+            desk.exchange.openRequests(), desk.processor.remembered()));
+        assertEquals(0, desk.time.waiting());
+    }
+
+    // ---- the ordinary way ----
+
+    @Test
+    void aDecisionNamesEndpointDeadlineAndTimeOut() {
+        Desk.Stream stream = consult("r", ORDER, 1);
+        assertTrue(stream.endpoint().matches("10\\.0\\.0\\.1:[123]"), stream.endpoint());
+        assertEquals("1000", stream.header("x-deadline-ms"));
+        assertEquals("1000", stream.header("x-envoy-upstream-rq-timeout-ms"));
+        assertEquals(stream.endpoint(), stream.last().getDynamicMetadata().getFieldsOrThrow("envoy.lb")
+            .getStructValue().getFieldsOrThrow("x-gateway-destination-endpoint").getStringValue());
+        stream.say(Desk.response(200, 0));
+        assertTrue(stream.isPassedOn());
+        assertEquals(1, stream.ends);
+    }
+
+    @Test
+    void aRefusalSaysWhenToComeBackInWholeSeconds() {
+        desk.restart();
+        Desk.Stream stream = consult("r", ORDER, 1);
+        assertEquals(503, stream.status());
+        assertEquals("1", stream.header("retry-after"), "500 ms");
+        assertEquals(1, stream.ends);
+    }
+
+    @Test
+    void anUnsafeRequestThatMayHaveRunFails() {
+        assertEquals(500, consult("r", ORDER, 1).say(Desk.response(500, 0)).status());
+    }
+
+    @Test
+    void aRefusalOfTheEndpointsOwnIsNotProofOfAnything() {
+        assertEquals(500, consult("r", ORDER, 1).say(Desk.response(503, 0)).status());
+    }
+
+    @Test
+    void aTimeOutOfTheProxysIsAGatewayTimeOut() {
+        assertEquals(504, consult("r", ORDER, 1).say(Desk.response(504, Desk.TIMED_OUT)).status());
+    }
+
+    @Test
+    void aRequestTurnedAwayForWhatItIsGoesOnAsItIs() {
+        assertTrue(consult("r", ORDER, 1).say(Desk.response(404, 0)).isPassedOn());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"503,0,1", "504,0,1", "503,32,0"})
+    void anUnsafeRequestThatNeverRanIsTriedAgainElsewhere(int status, int flags, String notRun) {
+        Desk.Stream first = consult("r", ORDER, 1);
+        first.say(Desk.response(status, flags, "x-not-run", notRun));
+        assertEquals("1", first.header("x-martenlatch-retry"));
+        assertEquals("503", first.header(":status"), "true if nobody comes back");
+        assertEquals(1, first.ends);
+        Desk.Stream second = consult("r", ORDER, 2);
+        assertNotNull(second.endpoint());
+        assertNotEquals(first.endpoint(), second.endpoint());
+        assertTrue(second.say(Desk.response(200, 0)).isPassedOn());
+    }
+
+    @Test
+    void aReadThatMayHaveRunIsTriedAgainUnderAStatusThatSaysSo() {
+        Desk.Stream first = consult("r", READ, 1);
+        first.say(Desk.response(503, Desk.BROKEN));
+        assertEquals("1", first.header("x-martenlatch-retry"));
+        assertEquals("500", first.header(":status"), "no refusal: it may have run");
+        assertNotNull(consult("r", READ, 2).endpoint());
+    }
+
+    /** Guards against a slot held for a proxy that never comes back. */
+    @Test
+    void anOfferNobodyComesForIsWithdrawn() {
+        consult("r", READ, 1).say(Desk.response(500, 0));
+        assertEquals(1, desk.processor.openCalls());
+        desk.time.advance(Desk.OWN.nextMs() + 1);
+        assertEquals(0, desk.processor.openCalls());
+        assertEquals(0, desk.exchange.openRequests());
+    }
+
+    @Test
+    void aKeyedRequestIsTriedAgainInItsGroupOnly() {
+        Desk.Stream first = consult("r", SAVE, 1).say(Desk.response(500, 0));
+        assertEquals("1", first.header("x-martenlatch-retry"));
+        Desk.Stream second = consult("r", SAVE, 2);
+        assertEquals(first.endpoint(), second.endpoint(), "every server here is a cell of its own");
+        desk.time.advance(SAVE.windowMs());
+        assertEquals(500, second.say(Desk.response(500, 0)).status(), "its window is over");
+    }
+
+    // ---- the module's own time-out ----
+
+    @Test
+    void aVerdictThatCameFirstIsToldWhenTheProxyComes() {
+        Desk.Stream stream = consult("r", ORDER, 1);
+        desk.time.advance(1000);
+        assertEquals(1, stream.told.size(), "nothing may be said unasked");
+        assertEquals(504, stream.say(Desk.response(504, Desk.TIMED_OUT)).status());
+    }
+
+    @Test
+    void anAnswerThatComesJustAfterTheTimeOutIsPassedOn() {
+        Desk.Stream stream = consult("r", ORDER, 1);
+        desk.time.advance(1000);
+        assertTrue(stream.say(Desk.response(200, 0)).isPassedOn());
+        assertEquals(500, consult("r", ORDER, 2).status(), "it has run");
+    }
+
+    @Test
+    void aLateAnswerToAReadWithdrawsWhatWasOfferedSince() {
+        Desk.Stream stream = consult("r", READ, 1);
+        double wait = Double.parseDouble(stream.header("x-envoy-upstream-rq-timeout-ms"));
+        assertTrue(wait < 1000, "patience with a read is short: " + wait);
+        desk.time.advance(wait);
+        assertEquals(1, desk.processor.openCalls(), "the next attempt waits for its consultation");
+        assertTrue(stream.say(Desk.response(200, 0)).isPassedOn());
+        assertEquals(0, desk.exchange.openRequests());
+    }
+
+    @Test
+    void aProxyThatNeverTellsIsCutOff() {
+        Desk.Stream stream = consult("r", ORDER, 1);
+        desk.time.advance(1000 + Desk.OWN.silenceMs() + 1);
+        assertEquals(Status.Code.DEADLINE_EXCEEDED, stream.error.getCode());
+        assertEquals(0, desk.processor.openStreams());
+    }
+
+    // ---- hard cases 1 and 3: the proxy's time-outs, and streams that break ----
+
+    @Test
+    void aDecisionWrittenJustBeforeTheProxysTimeOutMayHaveRun() {
+        Desk.Stream first = consult("r", ORDER, 1);
+        assertNotNull(first.endpoint());
+        first.breakOff();
+        Desk.Stream again = consult("r", ORDER, 2);
+        assertNull(again.endpoint());
+        assertEquals(500, again.status(), "a failure, and no refusal");
+    }
+
+    /** The time-out's reset is read together with the consultation, as after a pause of ours. */
+    @Test
+    void aDecisionNotWrittenByTheProxysTimeOutNeverRan() {
+        Desk.Stream first = desk.open().say(Desk.request(Desk.heads("r", ORDER, 1)));
+        first.breakOff();
+        Desk.Stream again = consult("r", ORDER, 2);
+        assertEquals(0, first.told.size());
+        assertNotNull(again.endpoint());
+        Desk.Stream skipped = desk.open().say(Desk.request(Desk.heads("s", ORDER, 1)));
+        skipped.breakOff();
+        assertEquals(500, consult("s", ORDER, 3).status(), "of the second attempt nothing is known");
+    }
+
+    /** Guards against a proxy that comes back later than an offer waits for it. */
+    @Test
+    void anUnsafeRequestWhoseOfferWasWithdrawnIsStillKnownNotToHaveRun() {
+        consult("r", ORDER, 1).say(Desk.response(503, Desk.NOT_CONNECTED));
+        desk.time.advance(Desk.OWN.nextMs() + 1);
+        assertNotNull(consult("r", ORDER, 2).endpoint());
+    }
+
+    @Test
+    void aBrokenStreamOfAReadIsTriedAgainAndBlamesNoEndpoint() {
+        for (int i = 0; i < 8; i++) {
+            Desk.Stream first = consult("r" + i, READ, 1);
+            first.breakOff();
+            assertNotNull(consult("r" + i, READ, 2).endpoint());
+        }
+        assertEquals("", desk.log.toString());
+    }
+
+    /** Guards against endpoints on trial because a proxy died with all its streams. */
+    @Test
+    void aProxysDeathPutsNoEndpointOnTrial() {
+        Map<String, Integer> before = spread("a");
+        List<Desk.Stream> dying = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            dying.add(consult("dying" + i, READ, 1));
+        }
+        dying.forEach(Desk.Stream::breakOff);
+        desk.time.advance(Desk.OWN.nextMs() + 1);
+        assertEquals(before, spread("b"));
+    }
+
+    /** Which endpoints a few requests at once go to. */
+    private Map<String, Integer> spread(String prefix) {
+        Map<String, Integer> counts = new TreeMap<>();
+        List<Desk.Stream> open = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            open.add(consult(prefix + i, READ, 1));
+            counts.merge(open.get(i).endpoint(), 1, Integer::sum);
+        }
+        for (Desk.Stream stream : open) {
+            desk.time.advance(5);
+            stream.say(Desk.response(200, 0));
+        }
+        return counts;
+    }
+
+    // ---- hard case 2: twice at once ----
+
+    @ParameterizedTest
+    @CsvSource({"0", "1"})
+    void twoStreamsForOneRequestGetOneDecision(int attempt) {
+        Desk.Stream one = desk.open().say(Desk.request(Desk.heads("r", ORDER, attempt)));
+        Desk.Stream other = desk.open().say(Desk.request(Desk.heads("r", ORDER, attempt)));
+        desk.settle();
+        assertNotNull(one.endpoint());
+        assertEquals(409, other.status());
+        assertTrue(one.say(Desk.response(200, 0)).isPassedOn());
+        assertEquals(500, consult("r", ORDER, attempt).status(), "it has run");
+    }
+
+    @Test
+    void aHigherCountTakesTheRequestOverAndTheOldStreamIsToldNothingOfIt() {
+        Desk.Stream one = consult("r", READ, 1);
+        Desk.Stream other = consult("r", READ, 2);
+        assertNotNull(other.endpoint());
+        assertEquals(500, one.say(Desk.response(500, 0)).status());
+        assertEquals(1, desk.processor.openCalls());
+        assertTrue(other.say(Desk.response(200, 0)).isPassedOn());
+        Desk.Stream unsafe = consult("u", ORDER, 1);
+        assertEquals(500, consult("u", ORDER, 2).status());
+        assertTrue(unsafe.say(Desk.response(200, 0)).isPassedOn(), "the one that did run");
+    }
+
+    // ---- hard case 4: our restart ----
+
+    @Test
+    void afterOurRestartALaterAttemptMayHaveRun() {
+        consult("r", ORDER, 1);
+        consult("s", READ, 1);
+        streams.forEach(Desk.Stream::breakOff);
+        desk.time.advance(5000);
+        desk.restart(Desk.server(0));
+        assertEquals(500, consult("r", ORDER, 2).status());
+        assertNotNull(consult("s", READ, 2).endpoint());
+        assertEquals(500, consult("k", SAVE, 2).status(), "its cell is not known any more");
+        assertNotNull(consult("n", ORDER, 1).endpoint());
+    }
+
+    // ---- hard case 5: a drain between decision and sending ----
+
+    @Test
+    void anOfferToAnEndpointThatDrainsSinceGoesElsewhere() {
+        consult("r", ORDER, 1).say(Desk.response(503, Desk.NOT_CONNECTED));
+        // Where the offer goes nobody but the module knows: all that it may be drain.
+        desk.change(Desk.server(0, State.DRAINING), Desk.server(1, State.DRAINING),
+            Desk.server(2, State.DRAINING));
+        assertEquals(503, consult("r", ORDER, 2).status());
+        assertEquals(0, desk.processor.openCalls());
+    }
+
+    @Test
+    void nothingIsDecidedForADrainingEndpoint() {
+        desk.change(Desk.server(0, State.DRAINING), Desk.server(1, State.GONE));
+        for (int i = 0; i < 5; i++) {
+            assertEquals("10.0.0.1:3", consult("r" + i, READ, 1).endpoint());
+        }
+    }
+
+    // ---- hard case 6: a cold endpoint ----
+
+    /** Each stream is another proxy's: the module counts them all. */
+    @Test
+    void aColdEndpointIsSparedByAllProxiesTogether() {
+        desk.change(new Server("s3", 0, 0, 3, desk.time.now(), State.READY, 1));
+        int cold = 0;
+        for (int i = 0; i < 9; i++) {
+            cold += "10.0.0.1:4".equals(consult("r" + i, READ, 1).endpoint()) ? 1 : 0;
+        }
+        assertTrue(cold <= 1, cold + " of 9 at once");
+    }
+
+    // ---- hard case 7: clients that go away, drain ----
+
+    @Test
+    void aClientThatGoesAwayFreesItsPlaceSoon() {
+        consult("r", READ, 1).breakOff();
+        assertEquals(1, desk.exchange.openRequests());
+        desk.time.advance(Desk.OWN.nextMs() + 1);
+        assertEquals(0, desk.exchange.openRequests());
+        assertEquals(0, desk.processor.openCalls());
+    }
+
+    @Test
+    void whileDrainingDeadlinesAreCut() {
+        desk.processor.drain(400);
+        assertEquals("400", consult("r", ORDER, 1).header("x-deadline-ms"));
+    }
+
+    // ---- hard case 8: what is no consultation ----
+
+    @ParameterizedTest
+    @CsvSource({"x-request-id,'',400", "x-class,nope,400", "x-deadline-ms,soon,400", ":method,PUT,405",
+        "x-envoy-attempt-count,-1,400"})
+    void badHeadsAreAnsweredAtOnce(String name, String value, int status) {
+        HeaderMap.Builder heads = HeaderMap.newBuilder().addHeaders(Desk.value(name, value));
+        Desk.heads("r", ORDER, 0).getHeadersList().stream()
+            .filter(header -> !header.getKey().equals(name)).forEach(heads::addHeaders);
+        Desk.Stream stream = desk.open().say(Desk.request(heads));
+        desk.settle();
+        assertEquals(status, stream.status());
+        assertEquals(1, stream.ends);
+    }
+
+    @Test
+    void anIdOfAnyLengthIsNotRemembered() {
+        assertEquals(400, consult("r".repeat(257), ORDER, 1).status());
+        assertNotNull(consult("r".repeat(256), ORDER, 1).endpoint());
+    }
+
+    @Test
+    void aHeaderOfTwoValuesIsNotReadInOneWay() {
+        Desk.Stream stream = desk.open().say(Desk.request(Desk.heads("r", ORDER, 1)
+            .addHeaders(Desk.value("X-Request-Id", "other"))));
+        desk.settle();
+        assertEquals(400, stream.status());
+    }
+
+    @Test
+    void messagesOutOfOrderEndTheStreamAndNothingElse() {
+        Desk.Stream other = consult("other", ORDER, 1);
+        assertEquals(Status.Code.INVALID_ARGUMENT,
+            desk.open().say(Desk.response(200, 0)).error.getCode());
+        Desk.Stream twice = consult("r", READ, 1).say(Desk.request(Desk.heads("r", READ, 1)));
+        assertEquals(Status.Code.INVALID_ARGUMENT, twice.error.getCode());
+        assertEquals(Status.Code.INVALID_ARGUMENT, desk.open().say(ProcessingRequest.newBuilder()
+            .setRequestBody(HttpBody.getDefaultInstance()).build()).error.getCode());
+        assertEquals(Status.Code.INVALID_ARGUMENT,
+            desk.open().say(ProcessingRequest.getDefaultInstance()).error.getCode());
+        assertEquals(Status.Code.FAILED_PRECONDITION, desk.open().say(Desk.request(
+            Desk.heads("o", READ, 1)).toBuilder().setObservabilityMode(true).build()).error.getCode());
+        assertTrue(other.say(Desk.response(200, 0)).isPassedOn());
+    }
+
+    @Test
+    void aStreamThatSaysNothingIsCutOff() {
+        Desk.Stream stream = desk.open();
+        desk.time.advance(Desk.OWN.silenceMs() - 1);
+        assertNull(stream.error);
+        desk.time.advance(1);
+        assertEquals(Status.Code.DEADLINE_EXCEEDED, stream.error.getCode());
+    }
+
+    @Test
+    void streamsOverTheBoundAreTurnedAwayAndRoomIsThereAgainAfterwards() {
+        for (int i = 0; i < 10_000; i++) {
+            streams.add(desk.open());
+        }
+        assertEquals(Desk.OWN.mostStreams(), desk.processor.openStreams());
+        assertEquals(Status.Code.RESOURCE_EXHAUSTED, streams.get(9999).error.getCode());
+        streams.get(0).breakOff();
+        assertNotNull(consult("r", READ, 1).endpoint());
+    }
+
+    @Test
+    void aFullMemoryRefusesWhatIsNew() {
+        for (int i = 0; i < Desk.OWN.rememberMost(); i++) {
+            desk.time.advance(1);
+            consult("r" + i, ORDER, 1).say(Desk.response(200, 0));
+        }
+        Desk.Stream refused = consult("new", READ, 1);
+        assertEquals(503, refused.status());
+        assertEquals("1", refused.header("retry-after"));
+        assertEquals(500, consult("r0", ORDER, 2).status(), "it is not forgotten for that");
+        desk.time.advance(Desk.OWN.rememberMs());
+        assertNotNull(consult("new", READ, 1).endpoint());
+    }
+}
--- /dev/null
+++ b/extproc/src/test/java/martenlatch/front/extproc/ProxyOutcomeTest.java
@@ -0,0 +1,36 @@
+package martenlatch.front.extproc;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import martenlatch.policy.Contract.Outcome;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What a proxy reports, as the protocol's table has it. */
+class ProxyOutcomeTest {
+
+    @ParameterizedTest
+    @CsvSource({"200,false,-,OK", "201,false,-,FAILED", "500,false,-,FAILED", "503,false,-,FAILED",
+        "503,true,-,QUEUE_FULL", "504,true,-,QUEUE_FULL", "500,true,-,FAILED", "404,false,-,IGNORED",
+        "0,false,-,FAILED", "302,false,-,FAILED",
+        "503,false,UF,CONNECT_ERROR", "503,false,UO,CONNECT_ERROR", "503,false,UH,CONNECT_ERROR",
+        "404,false,NR,CONNECT_ERROR", "503,false,NC,CONNECT_ERROR", "503,false,'UF,UO',CONNECT_ERROR",
+        "503,false,UC,RESET", "503,false,LR,RESET", "503,false,'UF,UC',RESET", "503,false,'UF,URX',RESET",
+        "504,false,UT,TIMED_OUT", "504,false,DT,TIMED_OUT", "504,false,'UT,UF',RESET",
+        "0,false,DC,CANCELED", "503,true,UC,RESET", "503,false,something new,RESET"})
+    void byWords(int status, boolean notRun, String flags, Outcome expected) {
+        assertEquals(expected, ProxyOutcome.of(status, notRun, ProxyOutcome.flags(flags)));
+    }
+
+    @Test
+    void byBits() {
+        assertEquals(Outcome.CONNECT_ERROR, ProxyOutcome.of(503, false, ProxyOutcome.flags(1 << 5)));
+        assertEquals(Outcome.TIMED_OUT, ProxyOutcome.of(504, false, ProxyOutcome.flags(1 << 2)));
+        assertEquals(Outcome.RESET, ProxyOutcome.of(503, false, ProxyOutcome.flags((1 << 5) + (1 << 6))));
+        assertEquals(Outcome.OK, ProxyOutcome.of(200, false, ProxyOutcome.flags(0)));
+        for (double bad : new double[] {-1, 0.5, 1e300, Double.NaN, Double.POSITIVE_INFINITY}) {
+            assertEquals(Outcome.RESET, ProxyOutcome.of(503, false, ProxyOutcome.flags(bad)));
+        }
+    }
+}
