--- a/extproc/src/main/java/martenlatch/front/extproc/ExtProcServer.java
+++ b/extproc/src/main/java/martenlatch/front/extproc/ExtProcServer.java
@@ -61,6 +61,9 @@
         Time time = new LoopTime(made.loop);
         made.loop.submit(() -> made.build(config, own, time, Witness.NONE)).syncUninterruptibly();
         try {
+            long began = System.nanoTime();
+            Warmup.run(config, own, made.loop);
+            log.println("martenlatch: warm after " + (System.nanoTime() - began) / 1_000_000 + " ms");
             made.server = listen(own, made.processor, made.loop);
         } catch (IOException e) {
             made.stop();
--- a/extproc/src/main/java/martenlatch/front/extproc/ExtProcSettings.java
+++ b/extproc/src/main/java/martenlatch/front/extproc/ExtProcSettings.java
@@ -82,6 +82,12 @@
         return value.intValue();
     }
 
+    /** The same, but for where it listens. */
+    ExtProcSettings at(InetSocketAddress address) {
+        return new ExtProcSettings(address, mostStreams, silenceMs, nextMs, rememberMs, rememberMost,
+            messageTimeoutMs, connectTimeoutMs);
+    }
+
     /**
      * Checks what only both files together can break.
      *
