--- a/extproc/src/main/java/martenlatch/front/extproc/EndpointAddresses.java
+++ b/extproc/src/main/java/martenlatch/front/extproc/EndpointAddresses.java
@@ -12,7 +12,7 @@
 /** Where proxies find the endpoints that may get something new. */
 final class EndpointAddresses implements EndpointTable {
 
-    private final Map<String, String> ready = new HashMap<>();
+    private final Map<String, Replies.Destination> ready = new HashMap<>();
 
     @Override
     public void update(ServerList list) {
@@ -23,7 +23,7 @@
         }
         for (ServerList.Entry entry : list.entries()) {
             if (entry.server().state() == State.READY) {
-                ready.put(entry.server().id(), text(entry.address()));
+                ready.put(entry.server().id(), Replies.Destination.of(text(entry.address())));
             } else {
                 ready.remove(entry.server().id());
             }
@@ -35,15 +35,11 @@
         return (host.indexOf(':') < 0 ? host : "[" + host + "]") + ":" + address.getPort();
     }
 
-    /** Where an endpoint listens, or null if nothing new may go there. */
-    String of(String server) {
+    /** How an endpoint is named, or null if nothing new may go there. */
+    Replies.Destination of(String server) {
         return ready.get(server);
     }
 
-    int size() {
-        return ready.size();
-    }
-
     @Override
     public void disconnect(String server) {
         // The proxies' connections are their own; they close them when they are idle.
--- a/extproc/src/main/java/martenlatch/front/extproc/ExtProcServer.java
+++ b/extproc/src/main/java/martenlatch/front/extproc/ExtProcServer.java
@@ -1,5 +1,6 @@
 package martenlatch.front.extproc;
 
+import io.grpc.BindableService;
 import io.grpc.Server;
 import io.grpc.netty.NettyServerBuilder;
 import io.netty.channel.ChannelOption;
@@ -41,7 +42,6 @@
     private Processor processor;
     private DiscoveryClient discovery;
     private Exchange exchange;
-    private EndpointAddresses addresses;
     private Server server;
     private double longestMs;
 
@@ -58,8 +58,7 @@
         SidecarConfig config = SidecarConfig.read(siteFile);
         ExtProcSettings own = ExtProcSettings.read(ownFile).checkedWith(config.settings());
         ExtProcServer made = new ExtProcServer(siteFile, log);
-        Time time = new LoopTime(made.loop);
-        made.loop.submit(() -> made.build(config, own, time, Witness.NONE)).syncUninterruptibly();
+        made.loop.submit(() -> made.build(config, own)).syncUninterruptibly();
         try {
             long began = System.nanoTime();
             Warmup.run(config, own, made.loop);
@@ -73,21 +72,22 @@
         return made;
     }
 
-    private void build(SidecarConfig config, ExtProcSettings own, Time time, Witness witness) {
+    private void build(SidecarConfig config, ExtProcSettings own) {
+        Time time = new LoopTime(loop);
         for (RequestClass kind : config.settings().classes()) {
             longestMs = Math.max(longestMs, kind.deadlineMs());
         }
         Complaints complaints = new Complaints(time, log);
-        addresses = new EndpointAddresses();
+        EndpointAddresses addresses = new EndpointAddresses();
         discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints);
         exchange = new Exchange(time, complaints, addresses, discovery::watch, config.settings(),
-            config.seed(), config.known(), witness);
+            config.seed(), config.known(), Witness.NONE);
         discovery.listen(exchange, config.known().version());
         processor = new Processor(time, loop, complaints, exchange, addresses, own, config.settings());
     }
 
     /** A gRPC server on the one event loop: calls run on it as they are read, with no hand-over. */
-    static Server listen(ExtProcSettings own, Processor processor, EventLoop loop) throws IOException {
+    static Server listen(ExtProcSettings own, BindableService processor, EventLoop loop) throws IOException {
         return NettyServerBuilder.forAddress(own.listen())
             .channelType(NioServerSocketChannel.class)
             .bossEventLoopGroup(loop).workerEventLoopGroup(loop)
@@ -105,6 +105,10 @@
         return (InetSocketAddress) server.getListenSockets().get(0);
     }
 
+    Exchange exchange() {
+        return exchange;
+    }
+
     Processor processor() {
         return processor;
     }
--- a/extproc/src/main/java/martenlatch/front/extproc/Main.java
+++ b/extproc/src/main/java/martenlatch/front/extproc/Main.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import martenlatch.config.Fields;
 import martenlatch.net.LoopTime;
+import martenlatch.world.ConsultationLoad;
 import martenlatch.world.StandInProxy;
 import sun.misc.Signal;
 
@@ -20,7 +21,11 @@
         usage: java -jar martenlatch-extproc.jar extproc SETTINGS.toml
                  one external processor until SIGTERM; GW_CONFIG names the site's configuration
                java -jar martenlatch-extproc.jar proxy LISTEN PROCESSOR
-                 a stand-in proxy that consults it, to try it by hand; both are like 127.0.0.1:9901""";
+                 a stand-in proxy that consults it, to try it by hand; both are like 127.0.0.1:9901
+               java -jar martenlatch-extproc.jar floor SETTINGS.toml
+                 a processor that decides nothing, on the same stack, to measure beside the real one
+               java -jar martenlatch-extproc.jar load PROCESSOR RATE STREAMS CLASS SECONDS
+                 consultations at a rate, or at 0 as many as so many streams at once allow""";
 
     private Main() {
     }
@@ -39,11 +44,19 @@
                 extproc(configFile, Path.of(args[1]), errors);
             } else if (args.length == 3 && args[0].equals("proxy")) {
                 proxy(Fields.address("LISTEN", args[1]), Fields.address("PROCESSOR", args[2]), errors);
+            } else if (args.length == 2 && args[0].equals("floor")) {
+                ExtProcServer.listen(ExtProcSettings.read(Path.of(args[1])), new Floor(), loop());
+            } else if (args.length == 6 && args[0].equals("load")) {
+                ConsultationLoad.run(Fields.address("PROCESSOR", args[1]), whole("RATE", args[2], 0),
+                    whole("STREAMS", args[3], 1), args[4], whole("SECONDS", args[5], 1), System.out);
             } else {
                 errors.println(USAGE);
                 return 2;
             }
             return 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 1;
         } catch (IOException | RuntimeException e) {
             errors.println("martenlatch: " + (e.getMessage() == null ? e.toString()
                 : e.getMessage().lines().findFirst().orElse("")));
@@ -51,6 +64,22 @@
         }
     }
 
+    private static EventLoop loop() {
+        return (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    }
+
+    private static int whole(String field, String text, int least) {
+        try {
+            int value = Integer.parseInt(text);
+            if (value >= least && value <= 1_000_000) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            throw Fields.bad(field, text);
+        }
+        throw Fields.bad(field, text);
+    }
+
     private static void extproc(String configFile, Path settings, PrintStream log) throws IOException {
         // Before all else: until there is a handler, SIGHUP ends the program.
         CompletableFuture<ExtProcServer> running = new CompletableFuture<>();
@@ -69,7 +98,7 @@
 
     private static void proxy(InetSocketAddress listen, InetSocketAddress processor, PrintStream log)
             throws IOException {
-        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        EventLoop loop = loop();
         var bound = new StandInProxy(loop, new LoopTime(loop), processor,
             new StandInProxy.Options(100, 250, 3, StandInProxy.WhenAway.FAIL, null),
             StandInProxy.Conduct.GOOD).listen(listen).awaitUninterruptibly();
--- a/extproc/src/main/java/martenlatch/front/extproc/Processor.java
+++ b/extproc/src/main/java/martenlatch/front/extproc/Processor.java
@@ -398,8 +398,8 @@
 
         /** Gives an attempt to the proxy that asks, unless its endpoint takes nothing new since. */
         private void handOut(Try made) {
-            String address = addresses.of(made.server);
-            if (address == null) {
+            Replies.Destination to = addresses.of(made.server);
+            if (to == null) {
                 made.ending.ended(Outcome.CONNECT_ERROR, null);
                 return;
             }
@@ -413,7 +413,7 @@
                 mayHaveRunAt = now;
                 made.first = true;
             }
-            proxy.decided(this, Replies.send(address, made.left(now)));
+            proxy.decided(this, Replies.send(to, made.left(now)));
         }
 
         private void givenUp(Try attempt) {
--- a/extproc/src/main/java/martenlatch/front/extproc/Replies.java
+++ b/extproc/src/main/java/martenlatch/front/extproc/Replies.java
@@ -28,25 +28,34 @@
     /** On a response: the proxy may send the request again, and is to ask again for it. */
     static final String RETRY = "x-martenlatch-retry";
 
+    private static final String DEADLINE = CallReader.DEADLINE.toLowerCase(Locale.ROOT);
+
     /** The response goes on as it is. */
     static final ProcessingResponse PASS = ProcessingResponse.newBuilder()
         .setResponseHeaders(HeadersResponse.getDefaultInstance()).build();
 
+    /** What names an endpoint in a decision; the same for all that go there, so it is made once. */
+    record Destination(HeaderValueOption header, Struct metadata) {
+        static Destination of(String address) {
+            return new Destination(Replies.header(DESTINATION, address), Struct.newBuilder()
+                .putFields(METADATA, Value.newBuilder().setStructValue(Struct.newBuilder().putFields(
+                    DESTINATION, Value.newBuilder().setStringValue(address).build())).build()).build());
+        }
+    }
+
     private Replies() {
     }
 
     /** The request goes to an endpoint, which has so long for its answer; whole milliseconds, rounded up. */
-    static ProcessingResponse send(String address, double waitMs) {
+    static ProcessingResponse send(Destination to, double waitMs) {
         String wait = Long.toString(Math.max(1, (long) Math.ceil(waitMs)));
         return ProcessingResponse.newBuilder()
             .setRequestHeaders(HeadersResponse.newBuilder().setResponse(CommonResponse.newBuilder()
                 .setHeaderMutation(HeaderMutation.newBuilder()
-                    .addSetHeaders(header(DESTINATION, address))
-                    .addSetHeaders(header(CallReader.DEADLINE.toLowerCase(Locale.ROOT), wait))
+                    .addSetHeaders(to.header())
+                    .addSetHeaders(header(DEADLINE, wait))
                     .addSetHeaders(header(TIMEOUT, wait)))))
-            .setDynamicMetadata(Struct.newBuilder().putFields(METADATA, Value.newBuilder()
-                .setStructValue(Struct.newBuilder().putFields(DESTINATION,
-                    Value.newBuilder().setStringValue(address).build())).build()))
+            .setDynamicMetadata(to.metadata())
             .build();
     }
 
--- a/extproc/src/main/java/martenlatch/world/StandInProxy.java
+++ b/extproc/src/main/java/martenlatch/world/StandInProxy.java
@@ -294,22 +294,30 @@
             double wait = conduct.waitMs(id, attempt,
                 Double.parseDouble(headers.get(TIMEOUT, "15000")));
             double slowness = conduct.slownessMs(id, attempt);
+            double sendBy = time.now() + options.connectTimeoutMs();
             if (conduct.breaksOff(id, attempt)) {
                 asking.leave();
             }
             InetSocketAddress to = new InetSocketAddress(at.getHost(), at.getPort());
-            // The connect's limit counts from the decision, so that no decision is carried out late.
-            if (slowness >= options.connectTimeoutMs()) {
-                limit(options.connectTimeoutMs(), () -> local(503, CONNECTION_FAILURE));
-            } else if (slowness > 0) {
-                limit(slowness, () -> connect(to, options.connectTimeoutMs() - slowness, wait));
+            if (slowness > 0) {
+                limit(slowness, () -> connectBy(to, sendBy, wait));
             } else {
-                connect(to, options.connectTimeoutMs(), wait);
+                connectBy(to, sendBy, wait);
             }
         }
 
         // ---- the endpoint ----
 
+        /** The connect's limit counts from the decision, so that no decision is carried out late. */
+        private void connectBy(InetSocketAddress to, double sendBy, double waitMs) {
+            double left = sendBy - time.now();
+            if (left > 0) {
+                connect(to, left, waitMs);
+            } else {
+                local(503, CONNECTION_FAILURE);
+            }
+        }
+
         private void connect(InetSocketAddress to, double withinMs, double waitMs) {
             ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(withinMs))
--- a/extproc/src/test/java/martenlatch/front/extproc/ExtProcServerTest.java
+++ b/extproc/src/test/java/martenlatch/front/extproc/ExtProcServerTest.java
@@ -39,8 +39,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import martenlatch.host.ServerList;
 import martenlatch.net.LoopTime;
 import martenlatch.policy.Contract.RequestClass;
+import martenlatch.policy.Contract.Server;
+import martenlatch.policy.Contract.State;
 import martenlatch.world.StandInProxy;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -379,6 +382,53 @@
         assertEquals(200, post(slow, "less", "order"));
     }
 
+    /** Eight clients, a proxy that is slow to send, and an endpoint that counts what reaches it and when. */
+    @Test
+    void nothingNewReachesADrainingEndpointAfterTheGrace() throws Exception {
+        Counting leaving = new Counting();
+        Counting staying = new Counting();
+        restart(entry(0, leaving.address(), "in_service", 0), entry(1, staying.address(), "in_service", 0));
+        InetSocketAddress proxy = standIn(StandInProxy.WhenAway.FAIL, null, new StandInProxy.Conduct() {
+            @Override
+            public double slownessMs(String id, int attempt) {
+                return 150;
+            }
+        });
+        ConcurrentLinkedQueue<String> wrong = new ConcurrentLinkedQueue<>();
+        List<Thread> clients = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            String name = "c" + i + "-";
+            clients.add(new Thread(() -> {
+                for (int n = 0; n < 12; n++) {
+                    try {
+                        int status = post(proxy, name + n, "order");
+                        int runs = leaving.runs(name + n) + staying.runs(name + n);
+                        // At the first calls the limit is low: some are refused, and those have not run.
+                        if (status == 200 ? runs != 1 : status != 503 || runs != 0) {
+                            wrong.add(name + n + ": " + status + ", ran " + runs + " times");
+                        }
+                    } catch (IOException e) {
+                        wrong.add(name + n + ": " + e);
+                    }
+                }
+            }));
+        }
+        clients.forEach(Thread::start);
+        await("the endpoint has work", () -> leaving.at.size() >= 5);
+        ServerList drain = new ServerList(2, false, List.of(new ServerList.Entry(
+            new Server("s0", 0, 0, 0, 0, State.DRAINING, 1),
+            martenlatch.config.Fields.address("leaving", leaving.address()))));
+        server.loop().submit(() -> server.exchange().listed(drain)).syncUninterruptibly();
+        long told = System.nanoTime();
+        for (Thread client : clients) {
+            client.join(PATIENCE_MS);
+        }
+        assertEquals(List.of(), List.copyOf(wrong));
+        long late = leaving.at.stream().filter(at -> at - told > 500_000_000L).count();
+        assertEquals(0, late, "calls later than 500 ms after it was told");
+        assertTrue(staying.at.stream().anyMatch(at -> at - told > 500_000_000L), "the other one went on");
+    }
+
     /** Whatever a proxy does when we pause for longer than it waits: no unsafe request runs twice. */
     @Test
     void aProxyThatGoesOnOrAsksAgainRunsNothingTwice() throws Exception {
--- a/extproc/src/test/java/martenlatch/front/extproc/Lab.java
+++ b/extproc/src/test/java/martenlatch/front/extproc/Lab.java
@@ -70,8 +70,8 @@
         new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     private static final int ENDPOINTS = 8;
     private static final int STUCK_S = 100;
-    /** Of a hundred endpoints' answers so many, in this order, are what the table below says. */
-    private static final int SPOILT = 12;
+    /** One in so many of a full endpoint's refusals lacks the header that proves it. */
+    private static final int UNPROVEN = 12;
 
     private enum Trouble { NONE, SLOW, HANGS, REFUSES_CONNECTS, ERRORS, FULL }
 
@@ -439,8 +439,7 @@
                     StandardCharsets.US_ASCII));
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
             if (status == 503 || status == 504) {
-                // A refusal without this is as good as an error.
-                response.headers().set("X-Not-Run", spoilt % SPOILT == 11 ? "0" : "1");
+                response.headers().set("X-Not-Run", spoilt % UNPROVEN == 11 ? "0" : "1");
             }
             // Which connections stand is the proxy's matter in one mode; here none do, so all meet the same.
             response.headers().set(HttpHeaderNames.CONNECTION, "close");
