--- a/extproc/src/main/java/martenlatch/front/extproc/ExtProcServer.java
+++ b/extproc/src/main/java/martenlatch/extproc/ExtProcServer.java
@@ -1,4 +1,4 @@
-package martenlatch.front.extproc;
+package martenlatch.extproc;
 
 import io.grpc.BindableService;
 import io.grpc.Server;
@@ -15,6 +15,9 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import martenlatch.front.extproc.EndpointAddresses;
+import martenlatch.front.extproc.ExtProcSettings;
+import martenlatch.front.extproc.Processor;
 import martenlatch.host.Complaints;
 import martenlatch.host.Exchange;
 import martenlatch.host.Time;
@@ -22,7 +25,7 @@
 import martenlatch.membership.DiscoveryClient;
 import martenlatch.net.LoopTime;
 import martenlatch.policy.Contract.RequestClass;
-import martenlatch.sidecar.SidecarConfig;
+import martenlatch.site.SiteConfig;
 
 /** One external processor: its parts on one event loop, which is the only thread that touches any of them. */
 final class ExtProcServer {
@@ -55,7 +58,7 @@
 
     /** Reads both files and listens; what goes wrong is an exception whose message says so plainly. */
     static ExtProcServer start(Path siteFile, Path ownFile, PrintStream log) throws IOException {
-        SidecarConfig config = SidecarConfig.read(siteFile);
+        SiteConfig config = SiteConfig.read(siteFile);
         ExtProcSettings own = ExtProcSettings.read(ownFile).checkedWith(config.settings());
         ExtProcServer made = new ExtProcServer(siteFile, log);
         made.loop.submit(() -> made.build(config, own)).syncUninterruptibly();
@@ -72,7 +75,7 @@
         return made;
     }
 
-    private void build(SidecarConfig config, ExtProcSettings own) {
+    private void build(SiteConfig config, ExtProcSettings own) {
         Time time = new LoopTime(loop);
         for (RequestClass kind : config.settings().classes()) {
             longestMs = Math.max(longestMs, kind.deadlineMs());
@@ -121,7 +124,7 @@
     void reload() {
         loop.execute(() -> {
             try {
-                InetSocketAddress named = SidecarConfig.read(siteFile).discovery();
+                InetSocketAddress named = SiteConfig.read(siteFile).discovery();
                 log.println("martenlatch: configuration read again: discovery is at " + named);
                 discovery.move(named);
             } catch (IOException | RuntimeException e) {
--- a/extproc/src/main/java/martenlatch/front/extproc/Floor.java
+++ b/extproc/src/main/java/martenlatch/extproc/Floor.java
@@ -1,9 +1,10 @@
-package martenlatch.front.extproc;
+package martenlatch.extproc;
 
 import io.envoyproxy.envoy.service.ext_proc.v3.ExternalProcessorGrpc;
 import io.envoyproxy.envoy.service.ext_proc.v3.ProcessingRequest;
 import io.envoyproxy.envoy.service.ext_proc.v3.ProcessingResponse;
 import io.grpc.stub.StreamObserver;
+import martenlatch.front.extproc.Replies;
 
 /**
  * A processor that decides nothing and answers every message with a constant: what the stack under the real
@@ -11,7 +12,7 @@
  */
 final class Floor extends ExternalProcessorGrpc.ExternalProcessorImplBase {
 
-    private static final ProcessingResponse SEND = Replies.send(Replies.Destination.of("127.0.0.1:1"), 1000);
+    private static final ProcessingResponse SEND = new Replies.Destination("127.0.0.1:1").decision(1000);
 
     @Override
     public StreamObserver<ProcessingRequest> process(StreamObserver<ProcessingResponse> out) {
--- a/extproc/src/main/java/martenlatch/front/extproc/Main.java
+++ b/extproc/src/main/java/martenlatch/extproc/Main.java
@@ -1,4 +1,4 @@
-package martenlatch.front.extproc;
+package martenlatch.extproc;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import martenlatch.config.Fields;
+import martenlatch.front.extproc.ExtProcSettings;
 import martenlatch.net.LoopTime;
 import martenlatch.world.ConsultationLoad;
 import martenlatch.world.StandInProxy;
--- a/extproc/src/main/java/martenlatch/front/extproc/Warmup.java
+++ b/extproc/src/main/java/martenlatch/extproc/Warmup.java
@@ -1,4 +1,4 @@
-package martenlatch.front.extproc;
+package martenlatch.extproc;
 
 import com.google.protobuf.ByteString;
 import io.envoyproxy.envoy.config.core.v3.HeaderMap;
@@ -20,6 +20,9 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import martenlatch.front.extproc.EndpointAddresses;
+import martenlatch.front.extproc.ExtProcSettings;
+import martenlatch.front.extproc.Processor;
 import martenlatch.host.Complaints;
 import martenlatch.host.Exchange;
 import martenlatch.host.ServerList;
@@ -30,7 +33,7 @@
 import martenlatch.policy.Contract.RequestClass;
 import martenlatch.policy.Contract.Settings;
 import martenlatch.policy.Contract.State;
-import martenlatch.sidecar.SidecarConfig;
+import martenlatch.site.SiteConfig;
 
 /**
  * Runs made-up consultations through a second set of the parts, on a port of its own, before proxies are let
@@ -57,7 +60,7 @@
     }
 
     /** Returns when it is warm, or after some seconds; not to be called on the event loop. */
-    static void run(SidecarConfig config, ExtProcSettings own, EventLoop loop) throws IOException {
+    static void run(SiteConfig config, ExtProcSettings own, EventLoop loop) throws IOException {
         InetSocketAddress ephemeral = new InetSocketAddress(own.listen().getAddress(), 0);
         Processor processor = loop.submit(() -> parts(config, own, loop)).syncUninterruptibly().getNow();
         Server server = ExtProcServer.listen(own.at(ephemeral), processor, loop);
@@ -75,7 +78,7 @@
         }
     }
 
-    private static Processor parts(SidecarConfig config, ExtProcSettings own, EventLoop loop) {
+    private static Processor parts(SiteConfig config, ExtProcSettings own, EventLoop loop) {
         Time time = new LoopTime(loop);
         Complaints silent = new Complaints(time, new PrintStream(OutputStream.nullOutputStream()));
         EndpointAddresses addresses = new EndpointAddresses();
--- a/extproc/src/main/java/martenlatch/front/extproc/EndpointAddresses.java
+++ b/extproc/src/main/java/martenlatch/front/extproc/EndpointAddresses.java
@@ -10,7 +10,7 @@
 import martenlatch.policy.Contract.State;
 
 /** Where proxies find the endpoints that may get something new. */
-final class EndpointAddresses implements EndpointTable {
+public final class EndpointAddresses implements EndpointTable {
 
     private final Map<String, Replies.Destination> ready = new HashMap<>();
 
@@ -23,7 +23,7 @@
         }
         for (ServerList.Entry entry : list.entries()) {
             if (entry.server().state() == State.READY) {
-                ready.put(entry.server().id(), Replies.Destination.of(text(entry.address())));
+                ready.put(entry.server().id(), new Replies.Destination(text(entry.address())));
             } else {
                 ready.remove(entry.server().id());
             }
--- a/extproc/src/main/java/martenlatch/front/extproc/ExtProcSettings.java
+++ b/extproc/src/main/java/martenlatch/front/extproc/ExtProcSettings.java
@@ -26,7 +26,7 @@
  * @param messageTimeoutMs the proxy's time limit for one of our answers, as it is configured there
  * @param connectTimeoutMs the proxy's time limit for a connect to an endpoint, as it is configured there
  */
-record ExtProcSettings(InetSocketAddress listen, int mostStreams, double silenceMs, double nextMs,
+public record ExtProcSettings(InetSocketAddress listen, int mostStreams, double silenceMs, double nextMs,
         double rememberMs, int rememberMost, double messageTimeoutMs, double connectTimeoutMs) {
 
     /** A machine is busy at times: so much of the drain's grace is left to it. */
@@ -36,7 +36,7 @@
     private static final Set<String> PROXY_NAMES = Set.of("message-timeout-ms", "connect-timeout-ms");
 
     /** Reads the file; anything missing, unknown or out of range is told by name and value. */
-    static ExtProcSettings read(Path file) throws IOException {
+    public static ExtProcSettings read(Path file) throws IOException {
         try {
             return of(new TomlMapper().readTree(Files.readAllBytes(file)));
         } catch (NoSuchFileException e) {
@@ -83,7 +83,7 @@
     }
 
     /** The same, but for where it listens. */
-    ExtProcSettings at(InetSocketAddress address) {
+    public ExtProcSettings at(InetSocketAddress address) {
         return new ExtProcSettings(address, mostStreams, silenceMs, nextMs, rememberMs, rememberMost,
             messageTimeoutMs, connectTimeoutMs);
     }
@@ -94,7 +94,7 @@
      * @throws IllegalArgumentException if a decision could be older than a drain allows when it is carried
      *     out, or an unsafe request could be forgotten while a proxy may still come back with it
      */
-    ExtProcSettings checkedWith(Settings site) {
+    public ExtProcSettings checkedWith(Settings site) {
         double grace = site.rules().drainGraceMs();
         double age = messageTimeoutMs + connectTimeoutMs + GRACE_SLACK_MS;
         if (age > grace) {
--- a/extproc/src/main/java/martenlatch/front/extproc/Replies.java
+++ b/extproc/src/main/java/martenlatch/front/extproc/Replies.java
@@ -17,7 +17,7 @@
 import martenlatch.front.CallReader;
 
 /** The messages that a proxy gets. */
-final class Replies {
+public final class Replies {
 
     /** Names the endpoint, as the Gateway API's endpoint picker protocol does. */
     static final String DESTINATION = "x-gateway-destination-endpoint";
@@ -31,31 +31,49 @@
     private static final String DEADLINE = CallReader.DEADLINE.toLowerCase(Locale.ROOT);
 
     /** The response goes on as it is. */
-    static final ProcessingResponse PASS = ProcessingResponse.newBuilder()
+    public static final ProcessingResponse PASS = ProcessingResponse.newBuilder()
         .setResponseHeaders(HeadersResponse.getDefaultInstance()).build();
 
-    /** What names an endpoint in a decision; the same for all that go there, so it is made once. */
-    record Destination(HeaderValueOption header, Struct metadata) {
-        static Destination of(String address) {
-            return new Destination(Replies.header(DESTINATION, address), Struct.newBuilder()
-                .putFields(METADATA, Value.newBuilder().setStructValue(Struct.newBuilder().putFields(
-                    DESTINATION, Value.newBuilder().setStringValue(address).build())).build()).build());
+    /** An endpoint as decisions name it. */
+    public static final class Destination {
+        private final HeaderValueOption header;
+        private final Struct metadata;
+        private long latestWait = -1;
+        private ProcessingResponse latest;
+
+        /** Names an endpoint, {@code address} being like {@code 10.0.0.1:80}. */
+        public Destination(String address) {
+            header = Replies.header(DESTINATION, address);
+            metadata = Struct.newBuilder().putFields(METADATA, Value.newBuilder().setStructValue(
+                Struct.newBuilder().putFields(DESTINATION,
+                    Value.newBuilder().setStringValue(address).build())).build()).build();
+        }
+
+        /**
+         * The request goes there, and the answer may take so long; whole milliseconds, rounded up. Most
+         * waits are the same few, and a message made before need not be measured again to be written.
+         */
+        public ProcessingResponse decision(double waitMs) {
+            long wait = Math.max(1, (long) Math.ceil(waitMs));
+            if (wait != latestWait) {
+                latestWait = wait;
+                latest = send(this, Long.toString(wait));
+            }
+            return latest;
         }
     }
 
     private Replies() {
     }
 
-    /** The request goes to an endpoint, which has so long for its answer; whole milliseconds, rounded up. */
-    static ProcessingResponse send(Destination to, double waitMs) {
-        String wait = Long.toString(Math.max(1, (long) Math.ceil(waitMs)));
+    private static ProcessingResponse send(Destination to, String wait) {
         return ProcessingResponse.newBuilder()
             .setRequestHeaders(HeadersResponse.newBuilder().setResponse(CommonResponse.newBuilder()
                 .setHeaderMutation(HeaderMutation.newBuilder()
-                    .addSetHeaders(to.header())
+                    .addSetHeaders(to.header)
                     .addSetHeaders(header(DEADLINE, wait))
                     .addSetHeaders(header(TIMEOUT, wait)))))
-            .setDynamicMetadata(to.metadata())
+            .setDynamicMetadata(to.metadata)
             .build();
     }
 
--- a/extproc/src/test/java/martenlatch/front/extproc/BothModesTest.java
+++ b/extproc/src/test/java/martenlatch/extproc/BothModesTest.java
@@ -1,4 +1,4 @@
-package martenlatch.front.extproc;
+package martenlatch.extproc;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
--- a/extproc/src/test/java/martenlatch/front/extproc/ExtProcServerTest.java
+++ b/extproc/src/test/java/martenlatch/extproc/ExtProcServerTest.java
@@ -1,4 +1,4 @@
-package martenlatch.front.extproc;
+package martenlatch.extproc;
 
 import static martenlatch.front.extproc.Desk.ORDER;
 import static martenlatch.front.extproc.Desk.READ;
@@ -39,6 +39,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import martenlatch.front.extproc.Desk;
 import martenlatch.host.ServerList;
 import martenlatch.net.LoopTime;
 import martenlatch.policy.Contract.RequestClass;
--- a/extproc/src/test/java/martenlatch/front/extproc/Lab.java
+++ b/extproc/src/test/java/martenlatch/extproc/Lab.java
@@ -1,4 +1,4 @@
-package martenlatch.front.extproc;
+package martenlatch.extproc;
 
 import io.grpc.Server;
 import io.netty.bootstrap.Bootstrap;
@@ -41,6 +41,10 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import martenlatch.front.extproc.EndpointAddresses;
+import martenlatch.front.extproc.ExtProcSettings;
+import martenlatch.front.extproc.ManualTime;
+import martenlatch.front.extproc.Processor;
 import martenlatch.front.http.Frontend;
 import martenlatch.host.Complaints;
 import martenlatch.host.EndpointTable;
--- a/extproc/src/test/java/martenlatch/front/extproc/MainTest.java
+++ b/extproc/src/test/java/martenlatch/extproc/MainTest.java
@@ -1,4 +1,4 @@
-package martenlatch.front.extproc;
+package martenlatch.extproc;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -83,7 +83,7 @@
     void aStopBySignalIsACleanExit() throws Exception {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
             .toString(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-            "martenlatch.front.extproc.Main", "extproc", settings("127.0.0.1:0").toString());
+            "martenlatch.extproc.Main", "extproc", settings("127.0.0.1:0").toString());
         builder.environment().put("GW_CONFIG",
             Files.writeString(folder.resolve("site.json"), SITE).toString());
         Process process = builder.redirectErrorStream(true).start();
--- a/extproc/src/test/java/martenlatch/front/extproc/Desk.java
+++ b/extproc/src/test/java/martenlatch/front/extproc/Desk.java
@@ -35,19 +35,19 @@
 import martenlatch.policy.Contract.State;
 
 /** A processor with no sockets, on a clock that the test moves, and the streams that consult it. */
-final class Desk {
+public final class Desk {
 
-    static final ExtProcSettings OWN = new ExtProcSettings(new InetSocketAddress("127.0.0.1", 0), 200, 2000,
-        300, 10_000, 1000, 100, 250);
-    static final RequestClass READ =
+    public static final ExtProcSettings OWN = new ExtProcSettings(
+        new InetSocketAddress("127.0.0.1", 0), 200, 2000, 300, 10_000, 1000, 100, 250);
+    public static final RequestClass READ =
         new RequestClass("read", 200, 3000, 1, 0.5, Effect.REPEATABLE, Group.ALL, 0, false);
-    static final RequestClass ORDER =
+    public static final RequestClass ORDER =
         new RequestClass("order", 1000, 3000, 1, 0.5, Effect.ONCE, Group.ALL, 0, false);
-    static final RequestClass SAVE =
+    public static final RequestClass SAVE =
         new RequestClass("save", 1000, 3000, 1, 0.5, Effect.BY_KEY, Group.CELL, 800, false);
-    static final RequestClass PUT =
+    public static final RequestClass PUT =
         new RequestClass("put", 1000, 3000, 1, 0.5, Effect.BY_KEY, Group.ALL, 5000, false);
-    static final Settings SITE = new Settings(1, 0, 0, 0, false, false, 0.1, 0,
+    public static final Settings SITE = new Settings(1, 0, 0, 0, false, false, 0.1, 0,
         List.of(READ, ORDER, SAVE, PUT), List.of(), new Limits(3, false, true, 2000, 200),
         new Rules(0.3, 8000, 3, 1000, 500, 10_000));
 
@@ -77,15 +77,15 @@
         processor = new Processor(time, tasks::add, complaints, exchange, addresses, own, SITE);
     }
 
-    static Server server(int number) {
+    public static Server server(int number) {
         return server(number, State.READY);
     }
 
-    static Server server(int number, State state) {
+    public static Server server(int number, State state) {
         return new Server("s" + number, 0, 0, number, 0, state, 1);
     }
 
-    static ServerList list(boolean full, Server... servers) {
+    public static ServerList list(boolean full, Server... servers) {
         List<ServerList.Entry> entries = new ArrayList<>();
         for (Server server : servers) {
             entries.add(new ServerList.Entry(server, new InetSocketAddress("10.0.0.1",
@@ -107,11 +107,11 @@
 
     // ---- messages ----
 
-    static HeaderValue value(String name, String value) {
+    public static HeaderValue value(String name, String value) {
         return HeaderValue.newBuilder().setKey(name).setRawValue(ByteString.copyFromUtf8(value)).build();
     }
 
-    static HeaderMap.Builder heads(String id, RequestClass kind, int attempt) {
+    public static HeaderMap.Builder heads(String id, RequestClass kind, int attempt) {
         HeaderMap.Builder map = HeaderMap.newBuilder()
             .addHeaders(value(":method", kind.effect() == Effect.REPEATABLE ? "GET" : "POST"))
             .addHeaders(value(":path", "/api")).addHeaders(value("x-request-id", id))
@@ -120,12 +120,12 @@
             : map.addHeaders(value("x-envoy-attempt-count", Integer.toString(attempt)));
     }
 
-    static ProcessingRequest request(HeaderMap.Builder heads) {
+    public static ProcessingRequest request(HeaderMap.Builder heads) {
         return ProcessingRequest.newBuilder().setRequestHeaders(HttpHeaders.newBuilder().setHeaders(heads))
             .build();
     }
 
-    static ProcessingRequest response(int status, int flags, String... more) {
+    public static ProcessingRequest response(int status, int flags, String... more) {
         HeaderMap.Builder map = HeaderMap.newBuilder().addHeaders(value(":status", status + ""));
         for (int i = 0; i < more.length; i += 2) {
             map.addHeaders(value(more[i], more[i + 1]));
@@ -137,9 +137,9 @@
                 .build()).build();
     }
 
-    static final int TIMED_OUT = 1 << 2;
-    static final int NOT_CONNECTED = 1 << 5;
-    static final int BROKEN = 1 << 6;
+    public static final int TIMED_OUT = 1 << 2;
+    public static final int NOT_CONNECTED = 1 << 5;
+    public static final int BROKEN = 1 << 6;
 
     Stream open() {
         return new Stream();
--- a/extproc/src/test/java/martenlatch/front/extproc/ManualTime.java
+++ b/extproc/src/test/java/martenlatch/front/extproc/ManualTime.java
@@ -5,7 +5,7 @@
 import martenlatch.host.Time;
 
 /** A clock that a test moves. All of it happens on one thread, which is the test's to choose. */
-final class ManualTime implements Time {
+public final class ManualTime implements Time {
 
     private record Due(double at, long number, Runnable task) {
     }
@@ -29,7 +29,7 @@
     }
 
     /** Runs what comes due until then, each at its time. */
-    void advanceTo(double then) {
+    public void advanceTo(double then) {
         while (!due.isEmpty() && due.peek().at() <= then) {
             Due next = due.poll();
             now = Math.max(now, next.at());
@@ -39,16 +39,16 @@
     }
 
     /** When the next task is due; infinite if there is none. */
-    double nextDue() {
+    public double nextDue() {
         return due.isEmpty() ? Double.POSITIVE_INFINITY : due.peek().at();
     }
 
-    void advance(double ms) {
+    public void advance(double ms) {
         advanceTo(now + ms);
     }
 
     /** How many tasks wait. */
-    int waiting() {
+    public int waiting() {
         return due.size();
     }
 }
--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -20,6 +20,7 @@
 import martenlatch.membership.DiscoveryClient;
 import martenlatch.net.LoopTime;
 import martenlatch.policy.Contract.RequestClass;
+import martenlatch.site.SiteConfig;
 import martenlatch.upstream.EndpointPool;
 
 /** One real sidecar: its parts on one event loop, which is the only thread that touches any of them. */
@@ -61,7 +62,7 @@
 
     /** Reads the configuration and listens; what goes wrong is an exception whose message says so plainly. */
     public static Sidecar start(Path file, PrintStream log) throws IOException {
-        SidecarConfig config = SidecarConfig.read(file);
+        SiteConfig config = SiteConfig.read(file);
         Sidecar sidecar = new Sidecar(file, log);
         try {
             sidecar.loop.submit(() -> sidecar.build(config)).syncUninterruptibly();
@@ -79,7 +80,7 @@
         }
     }
 
-    private void build(SidecarConfig config) {
+    private void build(SiteConfig config) {
         for (RequestClass kind : config.settings().classes()) {
             mostDeadlineMs = Math.max(mostDeadlineMs, (long) kind.deadlineMs());
         }
@@ -101,7 +102,7 @@
         return names == null ? USUAL_FILES : names.length;
     }
 
-    private void warm(SidecarConfig config) {
+    private void warm(SiteConfig config) {
         long began = System.nanoTime();
         loop.execute(() -> new Warmup(loop, config, () -> {
             frontend.warm();
@@ -116,7 +117,7 @@
     public void reload() {
         loop.execute(() -> {
             try {
-                InetSocketAddress named = SidecarConfig.read(file).discovery();
+                InetSocketAddress named = SiteConfig.read(file).discovery();
                 log.println("martenlatch: configuration read again: discovery is at " + named);
                 discovery.move(named);
             } catch (IOException | RuntimeException e) {
--- a/sidecar/src/main/java/martenlatch/sidecar/Warmup.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Warmup.java
@@ -42,6 +42,7 @@
 import martenlatch.policy.Contract.RequestClass;
 import martenlatch.policy.Contract.Server;
 import martenlatch.policy.Contract.State;
+import martenlatch.site.SiteConfig;
 import martenlatch.upstream.AnswerReader;
 import martenlatch.upstream.EndpointPool;
 
@@ -57,7 +58,7 @@
     private static final int MOST_MS = 3000;
 
     private final EventLoop loop;
-    private final SidecarConfig config;
+    private final SiteConfig config;
     private final Runnable done;
     private EndpointPool pool;
     private Frontend frontend;
@@ -66,7 +67,7 @@
     private int rounds;
     private boolean over;
 
-    Warmup(EventLoop loop, SidecarConfig config, Runnable done) {
+    Warmup(EventLoop loop, SiteConfig config, Runnable done) {
         this.loop = loop;
         this.config = config;
         this.done = done;
@@ -103,7 +104,7 @@
         Complaints silent = new Complaints(time, new PrintStream(OutputStream.nullOutputStream()));
         ServerList list = new ServerList(0, true, List.of(new ServerList.Entry(
             new Server("warm-up", config.settings().ownZone(), 0, 0, 0, State.READY, 1), at)));
-        SidecarConfig own = new SidecarConfig(ephemeral(), at, config.seed(), config.sockets(),
+        SiteConfig own = new SiteConfig(ephemeral(), at, config.seed(), config.sockets(),
             config.idleCloseMs(), config.names(), list, config.settings());
         pool = new EndpointPool(loop, time, silent, MOST_MS, config.idleCloseMs(), config.sockets());
         Exchange exchange = new Exchange(time, silent, pool, () -> { }, own.settings(), own.seed(),
--- a/sidecar/src/main/java/martenlatch/sidecar/SidecarConfig.java
+++ b/sidecar/src/main/java/martenlatch/site/SiteConfig.java
@@ -1,4 +1,4 @@
-package martenlatch.sidecar;
+package martenlatch.site;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -23,11 +23,11 @@
  * @param sockets the descriptors that the process may hold
  * @param idleCloseMs after how long at most an endpoint closes an idle connection
  */
-public record SidecarConfig(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+public record SiteConfig(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         double idleCloseMs, RegistryList.Names names, ServerList known, Settings settings) {
 
     /** Reads the file; anything missing or bad is an exception whose message names field and value. */
-    public static SidecarConfig read(Path file) throws IOException {
+    public static SiteConfig read(Path file) throws IOException {
         try (JsonParser in = new JsonFactory().createParser(Files.readAllBytes(file))) {
             in.nextToken();
             if (!(in.currentToken() != null && SettingsReader.value(in) instanceof Map<?, ?> config)) {
@@ -41,7 +41,7 @@
         }
     }
 
-    private static SidecarConfig of(Map<?, ?> config) {
+    private static SiteConfig of(Map<?, ?> config) {
         Map<String, Object> settings = object("settings", config.get("settings"));
         Map<String, Object> limits = object("settings.limits", settings.get("limits"));
         object("settings.rules", settings.get("rules"));
@@ -49,7 +49,7 @@
         positive("settings.limits.try-limit", limits.get("try-limit"));
         RegistryList.Names names = new RegistryList.Names(words("settings.azs", settings.get("azs")),
             words("settings.models", settings.get("models")));
-        return new SidecarConfig(Fields.address("listen", config.get("listen")),
+        return new SiteConfig(Fields.address("listen", config.get("listen")),
             Fields.address("discovery", config.get("discovery")), seed(config.get("seed")),
             (int) positive("limits.sockets", object("limits", config.get("limits")).get("sockets")),
             positive("settings.limits.idle-close-ms", limits.get("idle-close-ms")), names,
--- a/sidecar/src/test/java/martenlatch/sidecar/SidecarConfigTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SiteConfigTest.java
@@ -7,28 +7,29 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import martenlatch.site.SiteConfig;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** The configuration: what is right is read, what is not is named. */
-class SidecarConfigTest {
+class SiteConfigTest {
 
     @TempDir
     Path folder;
 
-    private SidecarConfig read(String part, String instead) throws IOException {
+    private SiteConfig read(String part, String instead) throws IOException {
         try (Fake endpoint = Fake.answering(200, "", ""); Rig rig = new Rig(endpoint)) {
             assertTrue(rig.config().contains(part), part);
-            return SidecarConfig.read(Files.writeString(folder.resolve("config.json"),
+            return SiteConfig.read(Files.writeString(folder.resolve("config.json"),
                 rig.config().replace(part, instead)));
         }
     }
 
     @Test
     void whatItHoldsIsRead() throws IOException {
-        SidecarConfig config = read("", "");
+        SiteConfig config = read("", "");
         assertEquals(0x8c1f30d27a5be964L, config.seed());
         assertEquals(1024, config.sockets());
         assertEquals(15_000, config.idleCloseMs());
@@ -59,7 +60,7 @@
     void aFileThatIsNoJsonIsNamed() throws IOException {
         Path file = Files.writeString(folder.resolve("config.json"), "{\"name\":");
         IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
-            () -> SidecarConfig.read(file));
+            () -> SiteConfig.read(file));
         assertTrue(e.getMessage().contains(file + " is not JSON"), e.getMessage());
     }
 }
