Tools: open-loop load generator, stand-in world and one-command demo

Every later measurement needs a load that waits for no answer and says when it was itself too slow, and a newcomer had nothing to run. World: endpoints and discovery on loopback with scripted trouble and a ledger by id. demo: all in one process, a live line, a summary, a page with plots. Tests cause a one-second stall (p99 at least 960 ms as computed, a closed loop hides it), a blocked generator, every kind of spoilt answer, no connections, no descriptors, Ctrl-C, bad traces and bad settings.

--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -166,12 +166,12 @@
     }
 
     /** Where clients connect. */
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return address;
     }
 
     /** Ends everything at once. */
-    void stop() {
+    public void stop() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 }
--- /dev/null
+++ b/tools/src/main/java/martenlatch/demo/Demo.java
@@ -0,0 +1,172 @@
+package martenlatch.demo;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import martenlatch.load.Arrivals;
+import martenlatch.load.End;
+import martenlatch.load.Kind;
+import martenlatch.load.LoadPlan;
+import martenlatch.load.LoadReport;
+import martenlatch.load.LoadRun;
+import martenlatch.load.Schedule;
+import martenlatch.load.Second;
+import martenlatch.load.Shape;
+import martenlatch.load.http.HttpDriver;
+import martenlatch.sidecar.Sidecar;
+import martenlatch.world.Happening;
+import martenlatch.world.ServiceTime;
+import martenlatch.world.World;
+import martenlatch.world.WorldSettings;
+
+/**
+ * Shows a sidecar at work before stand-in endpoints, one of which hangs, one of which drains and one of which
+ * dies and comes back cold, while a load goes on. All of it is one process on loopback.
+ */
+public final class Demo {
+
+    private static final int ENDPOINTS = 6;
+    private static final int WARM_SECONDS = 2;
+    private static final int CONNECTIONS = 256;
+    private static final int BAR = 20;
+    private static final long SEED = 20_261_201;
+
+    private final int seconds;
+    private final int rate;
+    private final PrintStream out;
+    private final Map<Integer, String> events = new TreeMap<>();
+    private final Deque<Happening> happenings = new ArrayDeque<>();
+    private World world;
+    private LoadRun run;
+
+    /**
+     * A demo that has not begun.
+     *
+     * @param seconds how long it lasts, from 10 on
+     * @param rate requests a second
+     */
+    public Demo(int seconds, int rate, PrintStream out) {
+        if (seconds < 10 || seconds > 3600) {
+            throw new IllegalArgumentException("seconds must be 10 to 3600 but is " + seconds);
+        }
+        if (rate < 1 || rate > 20_000) {
+            throw new IllegalArgumentException("rate must be 1 to 20000 but is " + rate);
+        }
+        this.seconds = seconds;
+        this.rate = rate;
+        this.out = out;
+        happen(0.25, Happening.What.HANG, 0);
+        happen(0.4, Happening.What.RECOVER, 0);
+        happen(0.5, Happening.What.DRAIN, 1);
+        happen(0.65, Happening.What.DIE, 2);
+        happen(0.8, Happening.What.RESTART, 2);
+    }
+
+    private void happen(double share, Happening.What what, int endpoint) {
+        happenings.add(new Happening(Math.floor(share * seconds), what, endpoint, "", Double.NaN));
+    }
+
+    /** What a demo came to. */
+    public record Result(LoadReport report, Map<Integer, String> events, String summary, boolean holds) {
+    }
+
+    /** Runs it; {@code begun} gets what stops it early. */
+    public Result run(Consumer<Runnable> begun) throws IOException, InterruptedException {
+        ByteArrayOutputStream log = new ByteArrayOutputStream();
+        Path config = Files.createTempFile("martenlatch-demo", ".json");
+        world = new World(new WorldSettings(ENDPOINTS, List.of("north", "east"), ServiceTime.parse(
+            "lognormal 8 0.5"), 16, 16, 1500, 4, 500, 1, 2_000_000, SEED), 0);
+        Sidecar sidecar = null;
+        try {
+            Files.writeString(config, config());
+            sidecar = Sidecar.start(config, new PrintStream(log, true, StandardCharsets.UTF_8));
+            out.printf("%d endpoints in 2 zones, discovery at %s, one sidecar at %s; %d requests a second "
+                + "for "
+                + "%d s%n", ENDPOINTS, world.discovery().address(), sidecar.address(), rate, seconds);
+            LoadReport report = load(sidecar.address(), begun);
+            Thread.sleep(50);
+            return result(report, log);
+        } finally {
+            if (sidecar != null) {
+                sidecar.stop();
+            }
+            world.close();
+            Files.deleteIfExists(config);
+        }
+    }
+
+    private LoadReport load(InetSocketAddress sidecar, Consumer<Runnable> begun)
+            throws IOException, InterruptedException {
+        List<Kind> kinds = List.of(new Kind("look-up", 6, Kind.Effect.REPEATABLE, 0, 1000, 1),
+            new Kind("update", 2, Kind.Effect.KEYED, 200, 1500, 1),
+            new Kind("book", 2, Kind.Effect.UNSAFE, 400, 1500, 1));
+        List<InetSocketAddress> targets = List.of(sidecar);
+        run = new LoadRun(new LoadPlan(targets, 1, CONNECTIONS, WARM_SECONDS), Arrivals.drawn(new Schedule(
+            List.of(new Shape.Constant(rate, seconds)), true, SEED), kinds, SEED),
+            (loop, most) -> new HttpDriver(loop, targets, most), this::live);
+        begun.accept(run::stop);
+        return run.run();
+    }
+
+    private void live(Second second) {
+        int done = Math.min(seconds, second.number() + 1);
+        String bar = "#".repeat(BAR * done / seconds);
+        StringBuilder line = new StringBuilder(String.format(Locale.ROOT,
+            "%3d s [%-" + BAR + "s] sent %5d served %5d refused %4d failed %4d timed out %4d  p50 %6.1f "
+            + "p99 %7.1f ms", done, bar, second.wishes(), second.count(End.SERVED), second.count(End.REFUSED),
+            second.count(End.FAILED), second.count(End.TIMED_OUT) + second.count(End.NOT_SENT), second.ms(50),
+            second.ms(99)));
+        while (!happenings.isEmpty() && happenings.peek().atSeconds() <= done && done < seconds) {
+            Happening next = happenings.poll();
+            next.to(world);
+            events.merge(done, next.toString(), (a, b) -> a + ", " + b);
+            line.append("  <- ").append(next);
+        }
+        out.println(line);
+    }
+
+    private String config() {
+        return """
+            {"name":"demo","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"%x",
+            "limits":{"cores":1.0,"memory_mb":192,"sockets":4096},"known":%s,
+            "settings":{"azs":["north","east"],"models":["stand-in"],"replicas-of-me":1,"slot-no":0,"tier":0,
+            "zone":0,"membership-mode":"on_request","classes":[
+            {"name":"look-up","effect":"repeatable","group":"all","hard-limit-ms":1000,"slo-ms":300,"worth":1},
+            {"name":"update","effect":"by_key","group":"all","memory-span-ms":10000,
+            "hard-limit-ms":1500,"slo-ms":400,"worth":2},
+            {"name":"book","effect":"once","group":"all","hard-limit-ms":1500,"slo-ms":400,"worth":4}],
+            "limits":{"cancel":true,"dial-timeout-ms":250,"idle-close-ms":15000,"max-retry-after-ms":2000,
+            "parallel-tries":true,"retry-after":true,"try-limit":3},
+            "rules":{"cold-share":0.3,"cold-ms":1500,"tip-multiple":3,"fall-ms":1000,"drain-grace-ms":500,
+            "ask-within-ms":1000}}}""".formatted(world.discovery().address().getPort(), SEED,
+                world.discovery().list());
+    }
+
+    private Result result(LoadReport report, ByteArrayOutputStream log) {
+        ByteArrayOutputStream words = new ByteArrayOutputStream();
+        PrintStream summary = new PrintStream(words, true, StandardCharsets.UTF_8);
+        summary.println("What clients saw (the first " + WARM_SECONDS + " s left out):");
+        report.print(summary);
+        summary.println("What endpoints saw: " + world.ledger());
+        boolean holds = report.differences().isEmpty() && world.ledger().unsafeAgainCount() == 0
+            && world.ledger().afterDrainCount() == 0;
+        summary.println(holds
+            ? "Held: each request one end, nothing unsafe run twice, nothing sent 500 ms after a drain was "
+            + "told."
+            : "BROKEN: see the figures above.");
+        summary.println("The sidecar's log had " + log.toString(StandardCharsets.UTF_8).lines().count()
+            + " lines.");
+        return new Result(report, events, words.toString(StandardCharsets.UTF_8), holds);
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/martenlatch/load/LoadSettings.java
@@ -0,0 +1,132 @@
+package martenlatch.load;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import martenlatch.config.Fields;
+
+/**
+ * A load as a TOML file describes it: either shapes or a trace, and the classes that they send.
+ *
+ * @param shapes one after the other; empty where a trace is played
+ * @param poisson whether gaps between arrivals are drawn or even
+ * @param trace the recorded traffic, or null
+ * @param speed how much faster than recorded a trace is played
+ * @param mostBadShare of a trace's lines, 0 to 1
+ */
+public record LoadSettings(LoadPlan plan, List<Kind> kinds, List<Shape> shapes, boolean poisson, long seed,
+        Path trace, double speed, double mostBadShare) {
+
+    private static final Set<String> NAMES = Set.of("targets", "workers", "connections", "warm-seconds",
+        "class",
+        "shapes", "arrivals", "seed", "trace", "trace-speed", "trace-bad-share");
+    private static final Set<String> KIND_NAMES = Set.of("name", "share", "effect", "body-bytes",
+        "deadline-ms",
+        "retries");
+
+    /** Reads a file; what can't be used is an exception whose message names field and value. */
+    public static LoadSettings read(Path file) throws IOException {
+        try {
+            return of(new TomlMapper().readTree(Files.readAllBytes(file)), file.toAbsolutePath().getParent());
+        } catch (NoSuchFileException e) {
+            throw new IllegalArgumentException("the settings file is not there: " + file, e);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException(file + " is not TOML: " + e.getOriginalMessage(), e);
+        }
+    }
+
+    private static LoadSettings of(JsonNode file, Path folder) {
+        knownOnly("", file, NAMES);
+        List<InetSocketAddress> targets = new ArrayList<>();
+        file.path("targets").forEach(one -> targets.add(Fields.address("targets", one.textValue())));
+        List<Kind> kinds = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (JsonNode one : file.path("class")) {
+            Kind kind = kind(one);
+            if (!names.add(kind.name())) {
+                throw new IllegalArgumentException("class.name must be one of a kind but two are \""
+                    + kind.name()
+                    + "\"");
+            }
+            kinds.add(kind);
+        }
+        if (kinds.isEmpty()) {
+            throw new IllegalArgumentException("class must be there at least once ([[class]])");
+        }
+        List<Shape> shapes = new ArrayList<>();
+        file.path("shapes").forEach(one -> shapes.add(Shape.parse(one.asText())));
+        if (shapes.isEmpty() == file.path("trace").isMissingNode()) {
+            throw new IllegalArgumentException("there must be shapes or a trace, one of them, but there "
+                + (shapes.isEmpty() ? "is neither" : "are both"));
+        }
+        String spacing = file.path("arrivals").asText("poisson");
+        if (!spacing.equals("poisson") && !spacing.equals("even")) {
+            throw new IllegalArgumentException("arrivals must be poisson or even but is \"" + spacing + "\"");
+        }
+        return new LoadSettings(new LoadPlan(targets, (int) number("workers", file.path("workers"), 1, true),
+            (int) number("connections", file.path("connections"), 256, true),
+            number("warm-seconds", file.path("warm-seconds"), 0, false)), kinds, shapes,
+            spacing.equals("poisson"), (long) number("seed", file.path("seed"), 1, true),
+            shapes.isEmpty() ? folder.resolve(file.path("trace").asText()) : null,
+            number("trace-speed", file.path("trace-speed"), 1, false),
+            number("trace-bad-share", file.path("trace-bad-share"), 0, false));
+    }
+
+    private static Kind kind(JsonNode one) {
+        knownOnly("class.", one, KIND_NAMES);
+        try {
+            return new Kind(one.path("name").asText(""), number("share", one.path("share"), 1, false),
+                Kind.Effect.parse(one.path("effect").asText("")),
+                (int) number("body-bytes", one.path("body-bytes"), 0, true),
+                (int) number("deadline-ms", one.path("deadline-ms"), 1000, true),
+                (int) number("retries", one.path("retries"), 0, true));
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("class." + e.getMessage(), e);
+        }
+    }
+
+    private static void knownOnly(String prefix, JsonNode table, Set<String> names) {
+        for (Iterator<String> it = table.fieldNames(); it.hasNext();) {
+            String name = it.next();
+            if (!names.contains(name)) {
+                throw new IllegalArgumentException(prefix + name + " is no setting; there are "
+                    + new java.util.TreeSet<>(names));
+            }
+        }
+    }
+
+    private static double number(String field, JsonNode value, double absent, boolean whole) {
+        if (value.isMissingNode()) {
+            return absent;
+        }
+        if (!value.isNumber() || whole && !value.canConvertToExactIntegral()) {
+            throw new IllegalArgumentException(field + " must be a " + (whole ? "whole " : "")
+                + "number but is "
+                + value);
+        }
+        return value.doubleValue();
+    }
+
+    /** Its arrivals; a trace is checked whole before, and {@code complaints} hears what is left out of it. */
+    public Arrivals arrivals(java.util.function.Consumer<String> complaints) throws IOException {
+        if (trace == null) {
+            return Arrivals.drawn(new Schedule(shapes, poisson, seed), kinds, seed + 1);
+        }
+        Trace checked = Trace.check(trace, kinds, mostBadShare);
+        checked.complaints().forEach(complaints);
+        if (checked.bad() > 0) {
+            complaints.accept(checked.bad() + " of " + checked.lines() + " lines of the trace are left out");
+        }
+        return checked.play(speed);
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/martenlatch/world/Discovery.java
@@ -0,0 +1,206 @@
+package martenlatch.world;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Discovery, as the protocol's page has it: the whole list, and watches that wait for what is newer. It may
+ * be late, silent or wrong. All of it runs on one event loop.
+ */
+public final class Discovery {
+
+    /** How it answers. */
+    public enum Manner {
+        /** At once. */
+        GOOD,
+        /** Not at all. */
+        SILENT,
+        /** With 503. */
+        DOWN,
+        /** With what is no list. */
+        WRONG
+    }
+
+    private static final int MOST_WAIT_MS = 60_000;
+    private static final int MOST_REQUEST = 4096;
+
+    private record Entry(String json, long version) {
+    }
+
+    private record Watch(ChannelHandlerContext ctx, long index) {
+    }
+
+    private final EventLoop loop;
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private Channel listener;
+    private Manner manner = Manner.GOOD;
+    private double lateMs;
+    private long version;
+
+    Discovery(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    void listen(int port) {
+        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .childHandler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel accepted) {
+                    accepted.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_REQUEST),
+                        new Questions());
+                }
+            }).bind("127.0.0.1", port).syncUninterruptibly().channel();
+    }
+
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    /** How it answers from now on; watches that wait end with silence, or are answered in that manner. */
+    public void manner(Manner next) {
+        loop.execute(() -> {
+            manner = next;
+            tell();
+        });
+    }
+
+    /** Everything that it tells comes so much later from now on. */
+    public void late(double ms) {
+        loop.execute(() -> lateMs = ms);
+    }
+
+    /** Lists an endpoint in a state of the protocol: in_service, terminating or terminated. */
+    void put(Endpoint endpoint, String state) {
+        String json = "{\"id\":\"" + endpoint.id() + "\",\"addr\":\"127.0.0.1:" + endpoint.address().getPort()
+            + "\",\"zone\":\"" + endpoint.zone() + "\",\"kind\":\"stand-in\",\"cell\":0,\"state\":\"" + state
+            + "\",\"weight\":1.0,\"started_ms\":" + endpoint.startedMs() + "}";
+        loop.submit(() -> {
+            entries.put(endpoint.id(), new Entry(json, ++version));
+            tell();
+        }).syncUninterruptibly();
+    }
+
+    /** The whole list as it is now, as its JSON. */
+    public String list() {
+        return loop.submit(() -> json(-1)).syncUninterruptibly().getNow();
+    }
+
+    void close() {
+        listener.close();
+    }
+
+    private void tell() {
+        for (Watch watch : List.copyOf(watches)) {
+            if (version > watch.index() || manner != Manner.GOOD) {
+                watches.remove(watch);
+                answer(watch.ctx(), watch.index());
+            }
+        }
+    }
+
+    private String json(long since) {
+        boolean full = since < 0;
+        StringBuilder out = new StringBuilder("{\"version\":").append(version).append(",\"full\":")
+            .append(full)
+            .append(",\"servers\":[");
+        String comma = "";
+        for (Entry entry : entries.values()) {
+            if (entry.version() > since && !(full && entry.json().contains("\"terminated\""))) {
+                out.append(comma).append(entry.json());
+                comma = ",";
+            }
+        }
+        return out.append("]}").toString();
+    }
+
+    private void answer(ChannelHandlerContext ctx, long since) {
+        Runnable write = () -> {
+            switch (manner) {
+                case SILENT -> { }
+                case DOWN -> write(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "");
+                case WRONG -> write(ctx, HttpResponseStatus.OK, "{\"version\":\"new\"}");
+                default -> write(ctx, HttpResponseStatus.OK, json(since));
+            }
+        };
+        if (lateMs > 0) {
+            loop.schedule(write, (long) (lateMs * 1000), TimeUnit.MICROSECONDS);
+        } else {
+            write.run();
+        }
+    }
+
+    private static void write(ChannelHandlerContext ctx, HttpResponseStatus status, String body) {
+        FullHttpResponse made = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+            Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        made.headers().set("Content-Type", "application/json")
+            .set("Content-Length", made.content().readableBytes());
+        ctx.writeAndFlush(made);
+    }
+
+    private final class Questions extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            QueryStringDecoder query = new QueryStringDecoder(request.uri());
+            if (!query.path().equals("/registry/instances")) {
+                write(ctx, HttpResponseStatus.NOT_FOUND, "");
+                return;
+            }
+            try {
+                long index = number(query, "index", -1);
+                long wait = Math.min(MOST_WAIT_MS, number(query, "wait", 0));
+                if (index < 0 || index < version || wait <= 0 || manner != Manner.GOOD) {
+                    answer(ctx, index > version ? -1 : index);
+                    return;
+                }
+                Watch watch = new Watch(ctx, index);
+                watches.add(watch);
+                loop.schedule(() -> {
+                    if (watches.remove(watch)) {
+                        answer(ctx, index);
+                    }
+                }, wait, TimeUnit.MILLISECONDS);
+            } catch (NumberFormatException e) {
+                write(ctx, HttpResponseStatus.BAD_REQUEST, "");
+            }
+        }
+
+        private long number(QueryStringDecoder query, String name, long absent) {
+            List<String> values = query.parameters().get(name);
+            return values == null ? absent : Long.parseLong(values.get(0));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            watches.removeIf(watch -> watch.ctx() == ctx);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/tools/src/test/java/martenlatch/load/LoadRunTest.java
@@ -0,0 +1,305 @@
+package martenlatch.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import martenlatch.load.http.HttpDriver;
+import martenlatch.world.Endpoint;
+import martenlatch.world.ServiceTime;
+import martenlatch.world.Trouble;
+import martenlatch.world.World;
+import martenlatch.world.WorldSettings;
+import org.HdrHistogram.Histogram;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The generator on loopback, before a world that misbehaves. */
+@Timeout(60)
+class LoadRunTest {
+
+    private World world;
+
+    @AfterEach
+    void close() {
+        if (world != null) {
+            world.close();
+        }
+    }
+
+    private Endpoint endpoint(WorldSettings settings) {
+        world = new World(settings, 0);
+        return world.endpoints().get(0);
+    }
+
+    private static Kind kind(Kind.Effect effect, int deadlineMs, int retries) {
+        return new Kind("k", 1, effect, effect == Kind.Effect.REPEATABLE ? 0 : 20, deadlineMs, retries);
+    }
+
+    private static LoadRun run(InetSocketAddress to, Kind kind, String shape, int connections,
+            Consumer<Second> live) {
+        List<InetSocketAddress> targets = List.of(to);
+        return new LoadRun(new LoadPlan(targets, 1, connections, 0),
+            Arrivals.drawn(new Schedule(List.of(Shape.parse(shape)), false, 1), List.of(kind), 1),
+            (loop, most) -> new HttpDriver(loop, targets, most), live);
+    }
+
+    private static String printed(LoadReport report) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        report.print(new PrintStream(out, true));
+        return out.toString();
+    }
+
+    @Test
+    void whatIsServedIsCountedOnBothSides() throws Exception {
+        Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 1")));
+        LoadReport report = run(endpoint.address(), kind(Kind.Effect.KEYED, 2_000, 0), "constant 500 1", 200,
+            second -> { }).run();
+        assertEquals(500, report.all().wishes());
+        assertEquals(500, report.all().count(End.SERVED));
+        assertEquals(500, world.ledger().ids());
+        assertEquals(0, world.ledger().runTwice());
+        assertEquals(List.of(), report.differences());
+        assertEquals(500, report.seconds().stream().mapToLong(Second::wishes).sum());
+        assertTrue(printed(report).contains("generator: ") || printed(report).contains("GENERATOR"),
+            printed(report));
+    }
+
+    /**
+     * 200 a second for 3 s, and the service answers nothing for 1 s in between: 200 of 600 come during the
+     * stall, and wait for what is left of it, evenly from 1000 ms down to 0. So 1 in 100 of all (6) wait at
+     * least 1000 * (1 - 6/200) = 970 ms, and 1 in 10 (60) at least 700 ms.
+     */
+    @Test
+    void aStallShowsInTheTailAsArithmeticSaysAndAClosedLoopHidesIt() throws Exception {
+        Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 1")));
+        LoadReport report = run(endpoint.address(), kind(Kind.Effect.REPEATABLE, 5_000, 0), "constant 200 3",
+            1000, second -> {
+                if (second.number() == 0) {
+                    endpoint.stall(1000);
+                }
+            }).run();
+        Histogram times = report.all().served();
+        assertEquals(600, times.getTotalCount());
+        assertTrue(times.getValueAtPercentile(99) >= 960_000, "p99 " + times.getValueAtPercentile(99));
+        assertTrue(times.getValueAtPercentile(90) >= 690_000, "p90 " + times.getValueAtPercentile(90));
+        assertTrue(times.getValueAtPercentile(50) < 600_000, "p50 " + times.getValueAtPercentile(50));
+        // It was the service: the generator's own sends did not wait as long as that.
+        assertTrue(report.judgement().lateness().getMaxValue() < 900_000_000L, report.verdict());
+
+        Histogram closed = new Histogram(3_600_000_000L, 3);
+        try (Socket socket = new Socket(endpoint.address().getAddress(), endpoint.address().getPort())) {
+            byte[] answer = new byte[4096];
+            for (int i = 0; i < 400; i++) {
+                if (i == 200) {
+                    endpoint.stall(1000);
+                }
+                long began = System.nanoTime();
+                socket.getOutputStream().write(("GET /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: c" + i
+                    + "\r\n\r\n").getBytes());
+                assertTrue(socket.getInputStream().read(answer) > 0);
+                closed.recordValue((System.nanoTime() - began) / 1000);
+            }
+        }
+        assertTrue(closed.getMaxValue() >= 900_000, "the stall was there");
+        assertTrue(closed.getValueAtPercentile(99) < 500_000, "and 99 in 100 do not show it");
+    }
+
+    /** Its loop is blocked on purpose, the service answers at once: the fault is the generator's. */
+    @Test
+    void aStarvedGeneratorSaysSo() throws Exception {
+        Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 0")));
+        List<InetSocketAddress> targets = List.of(endpoint.address());
+        int[] sends = {0};
+        LoadReport report = new LoadRun(new LoadPlan(targets, 1, 1000, 0),
+            Arrivals.drawn(new Schedule(List.of(Shape.parse("constant 500 2")), false, 1),
+                List.of(kind(Kind.Effect.REPEATABLE, 5_000, 0)), 1),
+            (loop, most) -> {
+                Driver driver = new HttpDriver(loop, targets, most);
+                return new Driver() {
+                    @Override
+                    public Call send(Wish wish, String id, boolean retry, long leftNanos, Ending ending) {
+                        if (++sends[0] == 600) {
+                            sleep();
+                        }
+                        return driver.send(wish, id, retry, leftNanos, ending);
+                    }
+
+                    @Override
+                    public void close() {
+                        driver.close();
+                    }
+                };
+            }, second -> { }).run();
+        assertEquals(1000, report.all().count(End.SERVED));
+        assertTrue(report.judgement().voidFrom() >= 0 && report.judgement().voidFrom() <= 1,
+            report.verdict());
+        assertTrue(report.judgement().lateShare() > 0.1, report.verdict());
+        assertTrue(report.judgement().longestPause() >= 390_000_000L, report.verdict());
+        assertTrue(printed(report).contains("GENERATOR TOO SLOW: figures from second"), printed(report));
+    }
+
+    private static void sleep() {
+        try {
+            Thread.sleep(400);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"NONE, SERVED, ", "RESETS, FAILED, reset|closed", "HALF, FAILED, cut short",
+        "GARBLES, FAILED, no HTTP", "HANGS, TIMED_OUT, no answer", "DEAF, TIMED_OUT, no answer",
+        "ERRORS, FAILED, status 500", "TWICE, SERVED, "})
+    void eachRequestEndsInOneCount(Trouble trouble, End end, String cause) throws Exception {
+        Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 0")));
+        endpoint.trouble(trouble);
+        int deadline = end == End.TIMED_OUT ? 300 : 5_000;
+        LoadReport report = run(endpoint.address(), kind(Kind.Effect.UNSAFE, deadline, 0), "constant 200 0.5",
+            400, second -> { }).run();
+        Figures all = report.all();
+        assertEquals(100, all.wishes());
+        // A very busy machine may not get some out within a short deadline; none is in two counts or none.
+        assertEquals(100, all.count(end) + (end == End.TIMED_OUT ? all.count(End.NOT_SENT) : 0),
+            printed(report));
+        assertEquals(100, all.ended());
+        assertEquals(0, all.open());
+        assertEquals(List.of(), report.differences());
+        if (cause != null && !cause.isEmpty()) {
+            assertTrue(all.causes().keySet().stream().anyMatch(said -> said.matches(cause)), printed(report));
+        }
+        if (trouble != Trouble.DEAF) {
+            assertTrue(world.ledger().runTwice() == 0, "nothing is sent twice");
+        }
+    }
+
+    @Test
+    void aServiceThatIsNotThereFailsEachAtOnce() throws Exception {
+        Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 0")));
+        world.die(0);
+        LoadReport report = run(endpoint.address(), kind(Kind.Effect.REPEATABLE, 5_000, 0),
+            "constant 200 0.5",
+            50, second -> { }).run();
+        assertEquals(100, report.all().count(End.FAILED), printed(report));
+        assertEquals(100L, report.all().causes().get("no connect"));
+    }
+
+    /**
+     * One connection, 50 ms a request, 300 ms of time: 6 or so of 100 can be sent; the others are not
+     * skipped.
+     */
+    @Test
+    void sendsThatFoundNoConnectionAreCounted() throws Exception {
+        Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 50")));
+        LoadReport report = run(endpoint.address(), kind(Kind.Effect.REPEATABLE, 300, 0),
+            "constant 10000 0.01", 1,
+            second -> { }).run();
+        Figures all = report.all();
+        assertEquals(100, all.ended());
+        assertTrue(all.count(End.NOT_SENT) >= 50, printed(report));
+        assertTrue(all.count(End.SERVED) >= 1 && all.count(End.SERVED) <= 6, printed(report));
+        assertTrue(report.waits() > 0, printed(report));
+        assertTrue(all.all().getValueAtPercentile(90) >= 290_000, "their time counts too");
+        assertTrue(printed(report).contains("at most 1 connections"), printed(report));
+    }
+
+    /**
+     * A refusal is tried again as a new request; what is unsafe is not, after a failure that may have run.
+     */
+    @Test
+    void retriesAreThoseOfThePlatformsClients() throws Exception {
+        WorldSettings full = new WorldSettings(1, List.of("a"), ServiceTime.parse("constant 300"), 1, 0, 0,
+            1, 500,
+            1, 1000, 1);
+        Endpoint endpoint = endpoint(full);
+        LoadReport refused = run(endpoint.address(), kind(Kind.Effect.UNSAFE, 5_000, 2), "constant 20 0.2",
+            50,
+            second -> { }).run();
+        assertTrue(refused.all().requests() > refused.all().wishes(), printed(refused));
+        assertEquals(4, refused.all().ended());
+        assertEquals(0, world.ledger().runTwice());
+        endpoint.trouble(Trouble.ERRORS);
+        LoadReport unsafe = run(endpoint.address(), kind(Kind.Effect.UNSAFE, 5_000, 2), "constant 2 0.6", 50,
+            second -> { }).run();
+        assertEquals(unsafe.all().wishes(), unsafe.all().requests(), printed(unsafe));
+        LoadReport keyed = run(endpoint.address(), kind(Kind.Effect.KEYED, 5_000, 2), "constant 2 0.6", 50,
+            second -> { }).run();
+        assertEquals(3 * keyed.all().wishes(), keyed.all().requests(), printed(keyed));
+    }
+
+    @Test
+    void aStopGivesTheReportOfWhatWasDone() throws Exception {
+        Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 1")));
+        LoadRun[] run = new LoadRun[1];
+        run[0] = run(endpoint.address(), kind(Kind.Effect.REPEATABLE, 5_000, 0), "constant 100 3600", 50,
+            second -> run[0].stop());
+        LoadReport report = run[0].run();
+        assertTrue(report.all().wishes() >= 50, printed(report));
+        assertEquals(report.all().wishes(), report.all().ended());
+        assertEquals(List.of(), report.differences());
+    }
+
+    @Test
+    void aRateBeyondTheMachineIsSaidToBe() throws Exception {
+        Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 0")));
+        LoadReport report = run(endpoint.address(), kind(Kind.Effect.REPEATABLE, 5_000, 0),
+            "constant 3000000 0.01", 16, second -> { }).run();
+        assertEquals(30_000, report.all().ended());
+        assertTrue(report.judgement().voidFrom() == 0, report.verdict());
+    }
+
+    @Test
+    void manyWorkersShareOneSourceAndNothingIsLostBetweenThem() throws Exception {
+        Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 0")));
+        List<InetSocketAddress> targets = List.of(endpoint.address());
+        List<Second> seconds = new ArrayList<>();
+        LoadReport report = new LoadRun(new LoadPlan(targets, 3, 64, 0),
+            Arrivals.drawn(new Schedule(List.of(Shape.parse("constant 1000 2")), true, 5),
+                List.of(kind(Kind.Effect.REPEATABLE, 5_000, 0)), 1),
+            (loop, most) -> new HttpDriver(loop, targets, most), seconds::add).run();
+        assertEquals(report.all().wishes(), report.all().count(End.SERVED), printed(report));
+        assertEquals(report.all().wishes(), world.ledger().ids());
+        assertEquals(report.all().wishes(), seconds.stream().mapToLong(Second::wishes).sum());
+        for (int i = 0; i < seconds.size(); i++) {
+            assertEquals(i, seconds.get(i).number());
+        }
+    }
+
+    @Test
+    void aTraceThatBreaksInTheMiddleEndsTheRunWithItsReason() throws Exception {
+        Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 0")));
+        List<InetSocketAddress> targets = List.of(endpoint.address());
+        Arrivals broken = new Arrivals() {
+            private int count;
+
+            @Override
+            public Wish next() throws IOException {
+                if (count == 10) {
+                    throw new IOException("unexpected end of the file");
+                }
+                return new Wish(count, count++ * 1_000_000L, kind(Kind.Effect.REPEATABLE, 1000, 0), null, 0,
+                    1000);
+            }
+
+            @Override
+            public double seconds() {
+                return 1;
+            }
+        };
+        String said = assertThrows(IOException.class,
+            () -> new LoadRun(new LoadPlan(targets, 1, 64, 0), broken,
+                (loop, most) -> new HttpDriver(loop, targets, most), second -> { }).run()).getMessage();
+        assertEquals("unexpected end of the file", said);
+    }
+}
