--- a/tools/src/main/java/martenlatch/demo/Demo.java
+++ b/tools/src/main/java/martenlatch/demo/Demo.java
@@ -142,7 +142,8 @@
             "limits":{"cores":1.0,"memory_mb":192,"sockets":4096},"known":%s,
             "settings":{"azs":["north","east"],"models":["stand-in"],"replicas-of-me":1,"slot-no":0,"tier":0,
             "zone":0,"membership-mode":"on_request","classes":[
-            {"name":"look-up","effect":"repeatable","group":"all","hard-limit-ms":1000,"slo-ms":300,"worth":1},
+            {"name":"look-up","effect":"repeatable","group":"all",
+            "hard-limit-ms":1000,"slo-ms":300,"worth":1},
             {"name":"update","effect":"by_key","group":"all","memory-span-ms":10000,
             "hard-limit-ms":1500,"slo-ms":400,"worth":2},
             {"name":"book","effect":"once","group":"all","hard-limit-ms":1500,"slo-ms":400,"worth":4}],
