--- a/tools/src/main/java/martenlatch/load/Worker.java
+++ b/tools/src/main/java/martenlatch/load/Worker.java
@@ -30,7 +30,29 @@
     /** Where the service does not say when to come back. */
     private static final double BACK_OFF_MS = 100;
 
-    private record Wake(long at, long order, Runnable task) implements Comparable<Wake> {
+    /** Something that is due; what it would do is let go of when it is not wanted any more. */
+    private static final class Wake implements Comparable<Wake> {
+        private final long at;
+        private final long order;
+        private Runnable task;
+
+        Wake(long at, long order, Runnable task) {
+            this.at = at;
+            this.order = order;
+            this.task = task;
+        }
+
+        void run() {
+            if (task != null) {
+                task.run();
+            }
+        }
+
+        /** Most calls end long before their time: until then only this is kept of them, and not the call. */
+        void letGo() {
+            task = null;
+        }
+
         @Override
         public int compareTo(Wake other) {
             return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
@@ -46,6 +68,7 @@
         /** A later try makes earlier wake-ups void. */
         private int serial;
         private boolean written;
+        private Wake timeout;
 
         Open(Wish wish) {
             this.wish = wish;
@@ -58,14 +81,12 @@
             long until = from + wish.deadlineMs() * 1_000_000L;
             int mine = ++serial;
             written = false;
-            if (counts(wish)) {
-                figures(wish.kind()).request();
-            }
+            part(wish).figures(wish.kind()).request();
             if (now >= until) {
                 ended(End.NOT_SENT, "late", Double.NaN);
                 return;
             }
-            wakeAt(until, () -> {
+            timeout = wakeAt(until, () -> {
                 if (!over && mine == serial) {
                     boolean sent = call.giveUp();
                     ended(sent ? End.TIMED_OUT : End.NOT_SENT, sent ? "no answer" : "no connection",
@@ -78,16 +99,14 @@
                 public void written() {
                     if (mine == serial && !over && !written) {
                         written = true;
-                        waits += clock() - now > Judgement.LATE_NANOS ? 1 : 0;
+                        part(wish).waits += clock() - now > Judgement.LATE_NANOS ? 1 : 0;
                     }
                 }
 
                 @Override
                 public void ended(End end, String cause, double retryAfterMs) {
                     if (!over && mine == serial) {
-                        if (counts(wish)) {
-                            judgement.answered(second.number(), pause);
-                        }
+                        part(wish).judgement.answered(second.number(), pause);
                         Open.this.ended(end, cause, retryAfterMs);
                     }
                 }
@@ -96,6 +115,9 @@
 
         private void ended(End end, String cause, double retryAfterMs) {
             serial++;
+            if (timeout != null) {
+                timeout.letGo();
+            }
             boolean harmless = end == End.REFUSED || end == End.NOT_SENT
                 || wish.kind().effect() != Kind.Effect.UNSAFE;
             if (end != End.SERVED && harmless && tries <= wish.kind().retries() && !stopped) {
@@ -113,9 +135,18 @@
             open.remove(this);
             long took = clock() - wish.intendedNanos();
             second.ended(end, took);
-            if (counts(wish)) {
-                figures(wish.kind()).ended(end, cause, took);
-            }
+            part(wish).figures(wish.kind()).ended(end, cause, took);
+        }
+    }
+
+    /** A part of the run. */
+    private static final class Part {
+        private final Map<Kind, Figures> figures = new HashMap<>();
+        private final Judgement judgement = new Judgement();
+        private long waits;
+
+        Figures figures(Kind kind) {
+            return figures.computeIfAbsent(kind, k -> new Figures());
         }
     }
 
@@ -127,8 +158,8 @@
     private final long start;
     private final long warmNanos;
     private final PriorityQueue<Wake> wakes = new PriorityQueue<>();
-    private final Map<Kind, Figures> figures = new HashMap<>();
-    private final Judgement judgement = new Judgement();
+    /** The run's and, behind it, the warm-up's, which nobody reads: both are counted by the same code. */
+    private final Part[] parts = {new Part(), new Part()};
     private final List<String> differences = new ArrayList<>();
     private Driver driver;
     private Second second = new Second(0);
@@ -136,7 +167,6 @@
     private long pause;
     /** Those that have begun and not ended: what the figures must agree with. */
     private final Set<Open> open = new HashSet<>();
-    private long waits;
     private boolean stopped;
     private volatile boolean stop;
     private volatile Throwable failure;
@@ -165,16 +195,19 @@
         return System.nanoTime() - start;
     }
 
-    private boolean counts(Wish wish) {
-        return wish.intendedNanos() >= warmNanos;
+    private Part part(Wish wish) {
+        return part(wish.intendedNanos());
     }
 
-    private Figures figures(Kind kind) {
-        return figures.computeIfAbsent(kind, k -> new Figures());
+    /** By arithmetic: a branch that goes the other way for the first time throws compiled code away. */
+    private Part part(long at) {
+        return parts[(int) ((at - warmNanos) >>> 63)];
     }
 
-    private void wakeAt(long at, Runnable task) {
-        wakes.add(new Wake(at, order++, task));
+    private Wake wakeAt(long at, Runnable task) {
+        Wake made = new Wake(at, order++, task);
+        wakes.add(made);
+        return made;
     }
 
     /** From now on nothing new is sent; what is open ends, and then the worker. */
@@ -206,8 +239,8 @@
             long now = clock();
             rollTo(now);
             stopped = stop;
-            while (!wakes.isEmpty() && wakes.peek().at() <= now) {
-                wakes.poll().task().run();
+            while (!wakes.isEmpty() && wakes.peek().at <= now) {
+                wakes.poll().run();
             }
             if (next == null) {
                 next = feed.poll();
@@ -221,14 +254,12 @@
                 }
             }
             long due = Math.min(next == null ? 0 : next == last || stopped ? Long.MAX_VALUE
-                : next.intendedNanos(), wakes.isEmpty() ? Long.MAX_VALUE : wakes.peek().at());
+                : next.intendedNanos(), wakes.isEmpty() ? Long.MAX_VALUE : wakes.peek().at);
             long sleep = Math.min(due - clock() - TICK_NANOS, LONGEST_SLEEP_NANOS);
             long before = clock();
             // The time since the last look is ours unless it was spent asleep in the selector.
             pause = before - looked;
-            if (before >= warmNanos) {
-                judgement.paused(pause);
-            }
+            part(before).judgement.paused(pause);
             if (sleep >= TICK_NANOS) {
                 loop.run(sleep);
                 // Woken by a socket or by time: either way it was not away.
@@ -245,14 +276,14 @@
 
     /** What is open is counted anew, by what stands open and not by what was begun and ended. */
     private void agree() {
-        figures.values().forEach(of -> of.open(0));
+        for (Part part : parts) {
+            part.figures.values().forEach(of -> of.open(0));
+        }
         for (Open one : open) {
-            if (counts(one.wish)) {
-                Figures of = figures(one.wish.kind());
-                of.open(of.open() + 1);
-            }
+            Figures of = part(one.wish).figures(one.wish.kind());
+            of.open(of.open() + 1);
         }
-        figures.forEach((kind, of) -> {
+        parts[0].figures.forEach((kind, of) -> {
             if (of.wishes() != of.ended() + of.open()) {
                 differences.add(kind.name() + " in second " + second.number() + ": " + of.wishes() + " sent, "
                     + of.ended() + " ended, " + of.open() + " open");
@@ -263,10 +294,8 @@
     private void begin(Wish wish) {
         long late = clock() - wish.intendedNanos();
         second.wish(late);
-        if (counts(wish)) {
-            judgement.sent(second.number(), late);
-            figures(wish.kind()).wish();
-        }
+        part(wish).judgement.sent(second.number(), late);
+        part(wish).figures(wish.kind()).wish();
         Open made = new Open(wish);
         open.add(made);
         made.attempt();
@@ -285,11 +314,11 @@
     // ---- to be read when its thread has ended ----
 
     Map<Kind, Figures> figures() {
-        return figures;
+        return parts[0].figures;
     }
 
     Judgement judgement() {
-        return judgement;
+        return parts[0].judgement;
     }
 
     /** Where sent was not the sum of ends and open, looked at every second; empty if it always was. */
@@ -299,7 +328,7 @@
 
     /** Requests that waited for a connection for more than a millisecond. */
     long waits() {
-        return waits;
+        return parts[0].waits;
     }
 
     Throwable failure() {
