Tools: one reader of TOML settings for load and world

Both files were read and checked by code written twice. Moved to a room of its own; no change of behaviour, the tests of both pass.

--- a/tools/src/main/java/martenlatch/load/LoadSettings.java
+++ b/tools/src/main/java/martenlatch/load/LoadSettings.java
@@ -1,19 +1,16 @@
 package martenlatch.load;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import martenlatch.config.Fields;
+import martenlatch.toml.TomlFile;
 
 /**
  * A load as a TOML file describes it: either shapes or a trace, and the classes that they send.
@@ -36,17 +33,11 @@
 
     /** Reads a file; what can't be used is an exception whose message names field and value. */
     public static LoadSettings read(Path file) throws IOException {
-        try {
-            return of(new TomlMapper().readTree(Files.readAllBytes(file)), file.toAbsolutePath().getParent());
-        } catch (NoSuchFileException e) {
-            throw new IllegalArgumentException("the settings file is not there: " + file, e);
-        } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException(file + " is not TOML: " + e.getOriginalMessage(), e);
-        }
+        return of(TomlFile.read(file), file.toAbsolutePath().getParent());
     }
 
     private static LoadSettings of(JsonNode file, Path folder) {
-        knownOnly("", file, NAMES);
+        TomlFile.knownOnly("", file, NAMES);
         List<InetSocketAddress> targets = new ArrayList<>();
         file.path("targets").forEach(one -> targets.add(Fields.address("targets", one.textValue())));
         List<Kind> kinds = new ArrayList<>();
@@ -73,52 +64,30 @@
         if (!spacing.equals("poisson") && !spacing.equals("even")) {
             throw new IllegalArgumentException("arrivals must be poisson or even but is \"" + spacing + "\"");
         }
-        return new LoadSettings(new LoadPlan(targets, (int) number("workers", file.path("workers"), 1, true),
-            (int) number("connections", file.path("connections"), 256, true),
-            number("warm-seconds", file.path("warm-seconds"), 0, false)), kinds, shapes,
-            spacing.equals("poisson"), (long) number("seed", file.path("seed"), 1, true),
+        return new LoadSettings(new LoadPlan(targets, TomlFile.whole("workers", file.path("workers"), 1),
+            TomlFile.whole("connections", file.path("connections"), 256),
+            TomlFile.number("warm-seconds", file.path("warm-seconds"), 0)), kinds, shapes,
+            spacing.equals("poisson"), TomlFile.whole("seed", file.path("seed"), 1),
             shapes.isEmpty() ? folder.resolve(file.path("trace").asText()) : null,
-            number("trace-speed", file.path("trace-speed"), 1, false),
-            number("trace-bad-share", file.path("trace-bad-share"), 0, false));
+            TomlFile.number("trace-speed", file.path("trace-speed"), 1),
+            TomlFile.number("trace-bad-share", file.path("trace-bad-share"), 0));
     }
 
     private static Kind kind(JsonNode one) {
-        knownOnly("class.", one, KIND_NAMES);
+        TomlFile.knownOnly("class.", one, KIND_NAMES);
         try {
-            return new Kind(one.path("name").asText(""), number("share", one.path("share"), 1, false),
+            return new Kind(one.path("name").asText(""), TomlFile.number("share", one.path("share"), 1),
                 Kind.Effect.parse(one.path("effect").asText("")),
-                (int) number("body-bytes", one.path("body-bytes"), 0, true),
-                (int) number("deadline-ms", one.path("deadline-ms"), 1000, true),
-                (int) number("retries", one.path("retries"), 0, true));
+                TomlFile.whole("body-bytes", one.path("body-bytes"), 0),
+                TomlFile.whole("deadline-ms", one.path("deadline-ms"), 1000),
+                TomlFile.whole("retries", one.path("retries"), 0));
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException("class." + e.getMessage(), e);
         }
     }
 
-    private static void knownOnly(String prefix, JsonNode table, Set<String> names) {
-        for (Iterator<String> it = table.fieldNames(); it.hasNext();) {
-            String name = it.next();
-            if (!names.contains(name)) {
-                throw new IllegalArgumentException(prefix + name + " is no setting; there are "
-                    + new java.util.TreeSet<>(names));
-            }
-        }
-    }
-
-    private static double number(String field, JsonNode value, double absent, boolean whole) {
-        if (value.isMissingNode()) {
-            return absent;
-        }
-        if (!value.isNumber() || whole && !value.canConvertToExactIntegral()) {
-            throw new IllegalArgumentException(field + " must be a " + (whole ? "whole " : "")
-                + "number but is "
-                + value);
-        }
-        return value.doubleValue();
-    }
-
     /** Its arrivals; a trace is checked whole before, and {@code complaints} hears what is left out of it. */
-    public Arrivals arrivals(java.util.function.Consumer<String> complaints) throws IOException {
+    public Arrivals arrivals(Consumer<String> complaints) throws IOException {
         if (trace == null) {
             return Arrivals.drawn(new Schedule(shapes, poisson, seed), kinds, seed + 1);
         }
