--- a/tools/src/main/java/martenlatch/world/Endpoint.java
+++ b/tools/src/main/java/martenlatch/world/Endpoint.java
@@ -28,6 +28,7 @@
 import java.util.Deque;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * One endpoint, as the protocol's page has it. It works on so many requests at once, keeps some more in a
@@ -48,6 +49,7 @@
     private final Ledger ledger;
     private final SplittableRandom random;
     private final ChannelGroup connections;
+    private final AtomicInteger accepts = new AtomicInteger();
     private final Deque<Runnable> queue = new ArrayDeque<>();
     private Channel listener;
     private volatile InetSocketAddress address;
@@ -79,6 +81,7 @@
                 @Override
                 protected void initChannel(SocketChannel accepted) {
                     connections.add(accepted);
+                    accepts.incrementAndGet();
                     if (trouble == Trouble.DEAF) {
                         accepted.config().setAutoRead(false);
                     }
@@ -107,6 +110,11 @@
         return startedMs;
     }
 
+    /** How many connections it has accepted so far. */
+    public int accepts() {
+        return accepts.get();
+    }
+
     /** What it does from now on. */
     public void trouble(Trouble next) {
         loop.execute(() -> trouble = next);
--- a/tools/src/test/java/martenlatch/load/LoadRunTest.java
+++ b/tools/src/test/java/martenlatch/load/LoadRunTest.java
@@ -179,6 +179,9 @@
         if (cause != null && !cause.isEmpty()) {
             assertTrue(all.causes().keySet().stream().anyMatch(said -> said.matches(cause)), printed(report));
         }
+        if (trouble == Trouble.TWICE) {
+            assertEquals(100, endpoint.accepts(), "what nobody asked for ends its connection");
+        }
         if (trouble != Trouble.DEAF) {
             assertTrue(world.ledger().runTwice() == 0, "nothing is sent twice");
         }
