--- a/sidecar/src/main/java/martenlatch/cli/Main.java
+++ b/sidecar/src/main/java/martenlatch/cli/Main.java
@@ -9,6 +9,9 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import martenlatch.benchlink.BenchLink;
 import martenlatch.benchlink.WireException;
 import martenlatch.sidecar.Sidecar;
@@ -17,6 +20,9 @@
 /** The command line: {@code serve} is one real sidecar, {@code benchlink} the simulator's adapter. */
 public final class Main {
 
+    /** A start that takes longer is not waited for when the program is stopped. */
+    private static final int START_MS = 5000;
+
     private Main() {
     }
 
@@ -24,7 +30,7 @@
     public static void main(String[] args) throws IOException {
         int status;
         if (args.length == 1 && args[0].equals("serve")) {
-            status = serve(System.getenv("GW_CONFIG"), System.err);
+            status = serve(System.getenv("GW_CONFIG"), System.getenv("TMPDIR"), System.err);
         } else {
             try (FileInputStream in = new FileInputStream(FileDescriptor.in);
                     FileOutputStream out = new FileOutputStream(FileDescriptor.out)) {
@@ -53,27 +59,38 @@
     }
 
     /** Starts a sidecar, to run until SIGTERM; returns the exit status of a start that failed. */
-    static int serve(String configFile, PrintStream errors) {
+    static int serve(String configFile, String shared, PrintStream errors) {
         // Before all else: until there is a handler, SIGHUP ends the program.
         CompletableFuture<Sidecar> running = new CompletableFuture<>();
         Signal.handle(new Signal("HUP"), signal -> running.thenAccept(Sidecar::reload));
+        // Clients may come before start returns: a stop by SIGTERM waits for it, and drains.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(running), "drain"));
         try {
             if (configFile == null || configFile.isBlank()) {
                 throw new IllegalArgumentException("GW_CONFIG must name the configuration file but is "
                     + configFile);
             }
-            Sidecar sidecar = Sidecar.start(Path.of(configFile), errors);
-            // Halting from the hook, once empty, makes a stop by SIGTERM a clean exit.
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                sidecar.drain();
-                Runtime.getRuntime().halt(0);
-            }, "drain"));
+            Sidecar sidecar = Sidecar.start(Path.of(configFile), shared == null ? null : Path.of(shared),
+                errors);
             running.complete(sidecar);
             return 0;
         } catch (IOException | RuntimeException e) {
+            running.completeExceptionally(e);
             errors.println("martenlatch: " + (e.getMessage() == null ? e.toString()
                 : e.getMessage().lines().findFirst().orElse("")));
             return 1;
         }
     }
+
+    private static void drain(CompletableFuture<Sidecar> running) {
+        try {
+            running.get(START_MS, TimeUnit.MILLISECONDS).drain();
+            // Halting, once empty, makes a stop by SIGTERM a clean exit.
+            Runtime.getRuntime().halt(0);
+        } catch (InterruptedException | ExecutionException | TimeoutException e) {
+            // It has not come so far as to serve: there is nothing to drain, and the status is that of the
+            // stop.
+            return;
+        }
+    }
 }
--- a/sidecar/src/main/java/martenlatch/config/SettingsReader.java
+++ b/sidecar/src/main/java/martenlatch/config/SettingsReader.java
@@ -51,8 +51,8 @@
     public static Settings settings(Map<String, Object> p) {
         List<RequestClass> classes = new ArrayList<>();
         for (Map<String, Object> c : maps(p, "classes")) {
-            classes.add(new RequestClass(text(c, "name", ""), number(c, "slo-ms", 0),
-                    number(c, "hard-limit-ms", 0), number(c, "worth", 1), number(c, "late-worth", 0),
+            classes.add(new RequestClass(text(c, "name", ""), needed(c, "slo-ms"),
+                    needed(c, "hard-limit-ms"), number(c, "worth", 1), number(c, "late-worth", 0),
                     effect(text(c, "effect", "once")), group(text(c, "group", "all")),
                     number(c, "memory-span-ms", 0), flag(c, "stream")));
         }
@@ -106,6 +106,13 @@
         throw new IllegalArgumentException("setting " + name + " should be a number but is " + value);
     }
 
+    private static double needed(Map<String, Object> from, String name) {
+        if (from.get(name) == null) {
+            throw Fields.bad("settings.classes[]." + name, null);
+        }
+        return number(from, name, 0);
+    }
+
     private static String text(Map<String, Object> from, String name, String absent) {
         Object value = from.get(name);
         return value == null ? absent : value.toString();
--- a/sidecar/src/main/java/martenlatch/front/http/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/front/http/Frontend.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -13,7 +12,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -25,6 +24,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -61,16 +61,21 @@
     private final Complaints complaints;
     private final Exchange exchange;
     private final int most;
-    private final CallReader calls;
+    private CallReader calls;
     private final EndpointPool endpoints;
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Those that have asked for nothing yet or have had their last answer, the oldest first. */
     private final Set<Connection> expendable = new LinkedHashSet<>();
     /** Those with no request in hand, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
-    private Channel listener;
+    private ClientListener listener;
     private boolean warm;
-    private boolean draining;
+    /** Ends for good, with or without another process that goes on at this address. */
+    private boolean stopping;
+    private boolean hasHeir;
+    /** Sends its clients away, until it is told otherwise. */
+    private boolean away;
+    /** Each answer is the last on its connection. */
     private boolean finishing;
     private double endsAt = Double.POSITIVE_INFINITY;
 
@@ -86,9 +91,11 @@
     }
 
     public ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(loop).channelFactory(ClientListener::new)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            // During an upgrade the old process and the new one listen at once.
+            .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
             .childOption(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -98,7 +105,7 @@
                 }
             })
             .bind(address);
-        listener = bound.channel();
+        listener = (ClientListener) bound.channel();
         return bound;
     }
 
@@ -107,14 +114,47 @@
         warm = true;
     }
 
+    /** Requests from here on are read by these settings. */
+    public void retune(Settings settings) {
+        calls = new CallReader(settings);
+    }
+
+    /** Whether clients may come. */
+    public boolean isReady() {
+        boolean listens = listener != null && listener.isActive();
+        return warm && !away && (stopping ? hasHeir : listens) && exchange.knowsEndpoints();
+    }
+
     /** Goes on, but takes no request that might not be answered by then, and is not ready for more. */
     public void drain(double leftMs) {
-        draining = true;
+        stopping = true;
         endsAt = time.now() + leftMs;
     }
 
+    /**
+     * As {@link #drain}, where another process serves at this address: who connects from here on meets that
+     * one, and who is connected here goes there after the next answer.
+     */
+    public void handOver(double leftMs) {
+        drain(leftMs);
+        hasHeir = true;
+        finishing = true;
+        closeListener();
+    }
+
+    /**
+     * Sends clients away, or takes them again: away is not ready, and each answer is the last on its
+     * connection. The listener stays, as the last ones are still coming, and who asks whether this sidecar
+     * is ready.
+     */
+    public void away(boolean now) {
+        away = now;
+        finishing = now || hasHeir;
+    }
+
+    /** Takes in those that wait to be accepted, and no more. */
     public void closeListener() {
-        listener.close();
+        listener.closeEmpty();
     }
 
     /** From now on each answer is the last on its connection; those that wait for none are let go. */
@@ -129,7 +169,9 @@
 
     /** Takes in no more, and lets go of the connections that wait for no answer. */
     public void close() {
-        closeListener();
+        if (listener != null) {
+            closeListener();
+        }
         finish();
     }
 
@@ -235,9 +277,9 @@
         }
 
         private void ready(Reply reply) {
-            boolean ready = warm && !draining && exchange.knowsEndpoints();
+            boolean ready = isReady();
             reply.plain(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                ready ? "ready" : draining ? "draining" : warm ? "no endpoint is known" : "starting");
+                ready ? "ready" : away || stopping ? "draining" : warm ? "no endpoint is known" : "starting");
         }
 
         private void api(Reply reply, FullHttpRequest request) {
--- a/sidecar/src/main/java/martenlatch/host/Exchange.java
+++ b/sidecar/src/main/java/martenlatch/host/Exchange.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import martenlatch.policy.Contract.Actions;
 import martenlatch.policy.Contract.Events;
 import martenlatch.policy.Contract.Finished;
@@ -39,14 +40,17 @@
         final Request request;
         final Carrier carrier;
         final Client client;
+        /** As the settings had it when the request came. */
+        final int mostTries;
         final List<Try> tries = new ArrayList<>(2);
         Time.Timer overdue;
         boolean concluded;
         /** Attempts whose end the module has not been told yet. */
         int out;
 
-        Open(Request request, Carrier carrier, Client client) {
+        Open(Request request, int mostTries, Carrier carrier, Client client) {
             this.request = request;
+            this.mostTries = mostTries;
             this.carrier = carrier;
             this.client = client;
         }
@@ -73,7 +77,7 @@
     private final EndpointTable endpoints;
     /** Begins a watch on the list of endpoints. */
     private final Runnable watch;
-    private final Settings settings;
+    private Settings settings;
     private final Witness witness;
     private final Events module;
     private final Map<String, Open> table = new HashMap<>();
@@ -111,10 +115,21 @@
         return table.containsKey(id);
     }
 
+    /** The settings that hold for requests from here on; their classes are told by their places in it. */
+    public void retune(Settings next) {
+        settings = next;
+        raise(null, now -> module.onSettings(now, next));
+    }
+
+    /** The operators have taken out these endpoints, and no others. */
+    public void disabled(Set<String> servers) {
+        raise(null, now -> module.onDisabled(now, servers));
+    }
+
     // ---- what happens ----
 
     public void request(Request request, Carrier carrier, Client client) {
-        Open open = new Open(request, carrier, client);
+        Open open = new Open(request, settings.limits().tries(), carrier, client);
         table.put(request.id(), open);
         witness.taken(request);
         open.overdue = time.after(request.deadlineMs() - time.now() + OVERDUE_MS, () -> overdue(open));
@@ -209,7 +224,7 @@
         witness.sent(id, made.number, server, timeoutMs);
         double left = open.request.deadlineMs() - now;
         double wait = timeoutMs == 0 ? left : Math.min(timeoutMs, left);
-        if (open.concluded || left <= 0 || open.tries.size() > settings.limits().tries()) {
+        if (open.concluded || left <= 0 || open.tries.size() > open.mostTries) {
             end(open, made, Outcome.IGNORED);
         } else if (wait <= 0) {
             end(open, made, Outcome.TIMED_OUT);
--- a/sidecar/src/main/java/martenlatch/policy/Contract.java
+++ b/sidecar/src/main/java/martenlatch/policy/Contract.java
@@ -1,6 +1,7 @@
 package martenlatch.policy;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * The words a balancer and its host share: settings, servers, requests and outcomes, the events that go in
@@ -128,6 +129,11 @@
             finite("server.weight", weight);
             notNegative("server.weight", weight);
         }
+
+        /** The same server in another state. */
+        public Server withState(State next) {
+            return new Server(id, zone, kind, cell, startedMs, next, weight);
+        }
     }
 
     /** A request from a client; the deadline is a time on the host's clock. */
@@ -161,6 +167,15 @@
         /** Discovery has sent a list, or changes to it, or has failed to. */
         void onServers(double now, ListKind kind, List<Server> entries);
 
+        /**
+         * The operators have taken these servers out, and no others: from now on each counts as draining,
+         * whatever lists say of it, until it is not among them any more.
+         */
+        void onDisabled(double now, Set<String> servers);
+
+        /** New settings hold for the requests to come; those in hand keep their class and attempts. */
+        void onSettings(double now, Settings next);
+
         /** A client has sent a request; the balancer now owes it one final answer. */
         void onRequest(double now, Request request);
 
--- a/sidecar/src/main/java/martenlatch/policy/Decide.java
+++ b/sidecar/src/main/java/martenlatch/policy/Decide.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import martenlatch.policy.Contract.Actions;
@@ -151,6 +152,8 @@
     private static final class Target {
         final String id;
         final long hash;
+        /** What discovery last said, and what holds: one that is disabled counts as draining. */
+        Contract.Server told;
         Contract.Server listed;
         boolean forgotten;
         /** Bits of the slots in the pool, and the next slot outside it, if it may have one. */
@@ -212,6 +215,8 @@
     private static final class Call {
         final Request request;
         final RequestClass kind;
+        final Learned known;
+        final int tries;
         final List<Attempt> attempts = new ArrayList<>(2);
         /** When an answer stops being worth waiting for. */
         final double usefulUntil;
@@ -221,9 +226,11 @@
         /** The first attempt that may have run: its server's group and time bind later ones. */
         Attempt mayHaveRun;
 
-        Call(double now, Request request, RequestClass kind) {
+        Call(double now, Request request, RequestClass kind, Learned known, int tries) {
             this.request = request;
             this.kind = kind;
+            this.known = known;
+            this.tries = tries;
             usefulUntil = kind.lateWorth() > 0 ? request.deadlineMs()
                 : Math.min(request.deadlineMs(), now + kind.aimMs() * USEFUL);
         }
@@ -238,6 +245,11 @@
         double sumMs;
         int samples;
 
+        Learned(RequestClass kind) {
+            typicalMs = kind.aimMs() / 4;
+            tailMs = kind.aimMs();
+        }
+
         void answered(double tookMs) {
             typicalMs += CLASS_GAIN * (tookMs - typicalMs);
             sumMs += tookMs;
@@ -254,7 +266,7 @@
         }
     }
 
-    private final Settings settings;
+    private Settings settings;
     private final Actions host;
     private final SplittableRandom random;
     private final Map<String, Target> targets = new LinkedHashMap<>();
@@ -266,9 +278,11 @@
     private final TreeSet<Slot> farSpares = new TreeSet<>();
     private final List<Target> paused = new ArrayList<>();
     private final List<Target> cold = new ArrayList<>();
-    private final Learned[] learned;
-    private final double mostWorth;
-    private final boolean anyRepeatable;
+    private Learned[] learned = {};
+    private double mostWorth;
+    private boolean anyRepeatable;
+    /** Taken out by the operators: nothing new goes there, whatever lists say. */
+    private Set<String> disabled = Set.of();
     private double meanWeight = 1;
     private int ready;
     private int readyInZone;
@@ -306,35 +320,40 @@
     /** When a call within its tenant's share was last turned away by the limit. */
     private double shareTurnedAway = Double.NEGATIVE_INFINITY;
     /** What is left of each tenant's allowance at this balancer, and when it was last topped up. */
-    private final double[] allowance;
-    private final double[] toppedUp;
+    private double[] allowance;
+    private double[] toppedUp;
 
     /** A balancer that knows its settings and nothing else; it acts through {@code host}. */
     public Decide(Settings settings, long seed, Actions host) {
         this.settings = settings;
         this.host = host;
         this.random = new SplittableRandom(seed);
-        int classes = settings.classes().size();
-        learned = new Learned[classes];
-        double worth = 0;
-        boolean repeatable = false;
-        for (int i = 0; i < classes; i++) {
-            RequestClass kind = settings.classes().get(i);
-            learned[i] = new Learned();
-            learned[i].typicalMs = kind.aimMs() / 4;
-            learned[i].tailMs = kind.aimMs();
-            worth = Math.max(worth, kind.worth());
-            repeatable |= kind.effect() != Effect.ONCE;
-        }
-        mostWorth = worth > 0 ? worth : 1;
-        allowance = new double[settings.tenants().size()];
-        toppedUp = new double[allowance.length];
-        anyRepeatable = repeatable;
+        take(settings);
         if (settings.asksForList()) {
             askForList(settings.rules().askWithinMs() / 2);
         }
     }
 
+    /** What is learned of a class stays with its name. */
+    private void take(Settings next) {
+        Learned[] fresh = new Learned[next.classes().size()];
+        mostWorth = Double.MIN_NORMAL;
+        anyRepeatable = false;
+        for (int i = 0; i < fresh.length; i++) {
+            RequestClass kind = next.classes().get(i);
+            fresh[i] = new Learned(kind);
+            for (int j = 0; j < learned.length; j++) {
+                fresh[i] = settings.classes().get(j).name().equals(kind.name()) ? learned[j] : fresh[i];
+            }
+            mostWorth = Math.max(mostWorth, kind.worth());
+            anyRepeatable |= kind.effect() != Effect.ONCE;
+        }
+        learned = fresh;
+        allowance = new double[next.tenants().size()];
+        toppedUp = new double[allowance.length];
+        settings = next;
+    }
+
     /** How many requests are in hand: not answered yet, or answered with an attempt still out. */
     public int openCalls() {
         return calls.size();
@@ -351,9 +370,10 @@
     public void onRequest(double now, Request request) {
         check(request);
         tick(now);
-        Call call = new Call(now, request, settings.classes().get(request.requestClass()));
+        Call call = new Call(now, request, settings.classes().get(request.requestClass()),
+            learned[request.requestClass()], settings.limits().tries());
         calls.put(request.id(), call);
-        demandMs += learned[request.requestClass()].baseMs();
+        demandMs += call.known.baseMs();
         retriesLeft = Math.min(RETRY_SAVINGS, retriesLeft + RETRY_SHARE);
         call.withinShare = settings.tier() > 0 || withinShare(now, request.tenant());
         if (!admits(now, call)) {
@@ -436,7 +456,7 @@
      */
     private void judgeCrowding(double now, Call call, Attempt attempt, Finished finished) {
         Target target = attempt.slot().target;
-        double base = learned[call.request.requestClass()].baseMs();
+        double base = call.known.baseMs();
         if (finished.outcome() == Outcome.TIMED_OUT && hangs(now, target)) {
             return;
         }
@@ -462,7 +482,7 @@
         if (pressure > comfort()) {
             if (now >= nextCut) {
                 limit = Math.max(LEAST_CALLS * growth(), Math.min(limit, peak + 1) * CUT);
-                nextCut = now + learned[call.request.requestClass()].typicalMs;
+                nextCut = now + call.known.typicalMs;
             }
         } else if (finished.outcome() == Outcome.OK && inFlight * 2 >= limit) {
             boolean quick = limit < quickUntil && pressure < comfort() / 2;
@@ -632,11 +652,10 @@
     private void send(double now, Call call, Slot slot) {
         double left = call.usefulUntil - now;
         double timeout = left;
-        Learned known = learned[call.request.requestClass()];
         // A hung server must not eat the whole of a call's time while another could still serve it.
-        if (call.kind.effect() != Effect.ONCE && call.attempts.size() + 1 < settings.limits().tries()) {
-            double patience = Math.max(known.tailMs * PATIENCE, settings.limits().connectTimeoutMs());
-            if (left - patience > known.typicalMs) {
+        if (call.kind.effect() != Effect.ONCE && call.attempts.size() + 1 < call.tries) {
+            double patience = Math.max(call.known.tailMs * PATIENCE, settings.limits().connectTimeoutMs());
+            if (left - patience > call.known.typicalMs) {
                 timeout = patience;
             }
         }
@@ -734,8 +753,8 @@
 
     private boolean mayRetry(double now, Call call, Outcome outcome) {
         double left = call.usefulUntil - now;
-        if (call.out > 0 || call.attempts.size() >= settings.limits().tries() || outcome == Outcome.IGNORED
-                || left < learned[call.request.requestClass()].typicalMs / 2) {
+        if (call.out > 0 || call.attempts.size() >= call.tries || outcome == Outcome.IGNORED
+                || left < call.known.typicalMs / 2) {
             return false;
         }
         if (call.mayHaveRun != null) {
@@ -759,13 +778,13 @@
     private boolean isFailure(Call call, Finished finished) {
         return switch (finished.outcome()) {
             case FAILED, CONNECT_ERROR, RESET -> true;
-            case TIMED_OUT -> finished.tookMs() >= learned[call.request.requestClass()].tailMs;
+            case TIMED_OUT -> finished.tookMs() >= call.known.tailMs;
             default -> false;
         };
     }
 
     private void learn(double now, Call call, Attempt attempt, Finished finished) {
-        Learned known = learned[call.request.requestClass()];
+        Learned known = call.known;
         Target target = attempt.slot().target;
         double took = finished.tookMs();
         boolean ok = finished.outcome() == Outcome.OK;
@@ -1134,15 +1153,38 @@
             }
             for (Target target : List.copyOf(targets.values())) {
                 if (!named.containsKey(target.id)) {
-                    update(now, new Contract.Server(target.id, target.listed.zone(), target.listed.kind(),
-                        target.listed.cell(), target.listed.startedMs(), State.GONE,
-                        target.listed.weight()));
+                    update(now, target.told.withState(State.GONE));
                 }
             }
         }
         for (Contract.Server entry : entries) {
             update(now, entry);
         }
+        arrange(now);
+    }
+
+    @Override
+    public void onDisabled(double now, Set<String> servers) {
+        Set<String> before = disabled;
+        disabled = Set.copyOf(servers);
+        for (Target target : List.copyOf(targets.values())) {
+            if (before.contains(target.id) && !disabled.contains(target.id)) {
+                // It was taken out to be mended: what was learned before says nothing now.
+                heal(target);
+            }
+            update(now, target.told);
+        }
+        arrange(now);
+    }
+
+    @Override
+    public void onSettings(double now, Settings next) {
+        take(next);
+        arrange(now);
+    }
+
+    /** Counts what may be used, and gives each server its place. */
+    private void arrange(double now) {
         double weights = 0;
         ready = 0;
         readyInZone = 0;
@@ -1185,11 +1227,13 @@
             target = new Target(entry);
             targets.put(entry.id(), target);
         }
-        target.listed = entry;
+        target.told = entry;
+        target.listed = entry.state() != State.READY || !disabled.contains(target.id) ? entry
+            : entry.withState(State.DRAINING);
         if (warmth(now, target) < 1 && !cold.contains(target)) {
             cold.add(target);
         }
-        if (entry.state() != State.READY) {
+        if (target.listed.state() != State.READY) {
             dropAll(target);
         }
         reprice(now, target, true);
--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -1,5 +1,6 @@
 package martenlatch.sidecar;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -10,11 +11,16 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import martenlatch.admin.AdminServer;
+import martenlatch.admin.Operations;
 import martenlatch.front.http.Frontend;
 import martenlatch.host.Complaints;
 import martenlatch.host.Exchange;
+import martenlatch.host.ServerList;
 import martenlatch.host.Time;
 import martenlatch.host.Witness;
 import martenlatch.membership.DiscoveryClient;
@@ -28,6 +34,13 @@
 
     /** Descriptors beyond those that the JVM holds from its start: warm-up, discovery, a round of accepts. */
     private static final int SPARE_SOCKETS = 32;
+    /**
+     * And where operators call: their connections, the listener, the shared folder's lock and a look into
+     * it.
+     */
+    private static final int ADMIN_SOCKETS = AdminServer.MOST + 4;
+    /** Clients sent away: the last of them may still come so long after. */
+    private static final int LAST_COMERS_MS = 1000;
     /** What the JVM holds open where the system does not tell. */
     private static final int USUAL_FILES = 32;
     private static final int LEAST_CONNECTIONS = 8;
@@ -43,12 +56,18 @@
 
     private final Path file;
     private final PrintStream log;
+    private SiteConfig config;
+    private Time time;
+    private Operations operations;
+    private AdminServer admin;
+    private Time.Timer goodbye;
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private Frontend frontend;
     private DiscoveryClient discovery;
     private EndpointPool endpoints;
     private InetSocketAddress address;
+    private InetSocketAddress adminAddress;
     private long mostDeadlineMs;
     private Exchange exchange;
 
@@ -60,41 +79,113 @@
         loop = (EventLoop) group.next();
     }
 
-    /** Reads the configuration and listens; what goes wrong is an exception whose message says so plainly. */
-    public static Sidecar start(Path file, PrintStream log) throws IOException {
+    /**
+     * Reads the configuration, warms up and listens; what goes wrong is an exception whose message says so
+     * plainly. Clients find it only when it is warm: where another process still serves at the address,
+     * they are divided between both.
+     *
+     * @param shared the folder that outlives this process, or null
+     */
+    public static Sidecar start(Path file, Path shared, PrintStream log) throws IOException {
         SiteConfig config = SiteConfig.read(file);
         Sidecar sidecar = new Sidecar(file, log);
         try {
-            sidecar.loop.submit(() -> sidecar.build(config)).syncUninterruptibly();
-            var bound = sidecar.frontend.listen(config.listen()).await();
-            if (!bound.isSuccess()) {
-                sidecar.stop();
-                throw new IOException("cannot listen on " + config.listen() + ": "
-                    + bound.cause().getMessage());
+            sidecar.loop.submit(() -> sidecar.build(config, shared)).syncUninterruptibly();
+            if (config.admin() != null) {
+                sidecar.adminAddress = sidecar.bind(() -> sidecar.admin.listen(config.admin()),
+                    config.admin());
             }
-            sidecar.warm(config);
-            sidecar.address = (InetSocketAddress) bound.channel().localAddress();
+            CountDownLatch warm = new CountDownLatch(1);
+            sidecar.warm(config, warm::countDown);
+            warm.await();
+            // Whoever is told that this process is ready must find that others can see it serve.
+            sidecar.loop.submit(sidecar::serve).syncUninterruptibly();
+            sidecar.address = sidecar.bind(() -> sidecar.frontend.listen(config.listen()), config.listen());
+            log.println("martenlatch: serves at " + sidecar.address);
             return sidecar;
         } catch (InterruptedException e) {
             throw new IOException("interrupted while starting", e);
         }
     }
 
-    private void build(SiteConfig config) {
-        for (RequestClass kind : config.settings().classes()) {
-            mostDeadlineMs = Math.max(mostDeadlineMs, (long) kind.deadlineMs());
+    private InetSocketAddress bind(Supplier<ChannelFuture> listen, InetSocketAddress at)
+            throws IOException, InterruptedException {
+        ChannelFuture bound = listen.get().await();
+        if (!bound.isSuccess()) {
+            stop();
+            throw new IOException("cannot listen on " + at + ": " + bound.cause().getMessage());
         }
-        Time time = new LoopTime(loop);
+        return (InetSocketAddress) bound.channel().localAddress();
+    }
+
+    private void serve() {
+        frontend.warm();
+        operations.serving();
+    }
+
+    private void build(SiteConfig told, Path shared) {
+        config = told;
+        mindDeadlines();
+        time = new LoopTime(loop);
         Complaints complaints = new Complaints(time, log);
-        int half = Math.max(LEAST_CONNECTIONS, (config.sockets() - openFiles() - SPARE_SOCKETS) / 2);
+        int spare = SPARE_SOCKETS + (config.admin() == null ? 0 : ADMIN_SOCKETS);
+        int half = Math.max(LEAST_CONNECTIONS, (config.sockets() - openFiles() - spare) / 2);
         endpoints = new EndpointPool(loop, time, complaints,
             config.settings().limits().connectTimeoutMs(), config.idleCloseMs(), half);
         discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints);
         exchange = new Exchange(time, complaints, endpoints, discovery::watch, config.settings(),
             config.seed(), config.known(), Witness.NONE);
-        discovery.listen(exchange, config.known().version());
+        operations = new Operations(time, complaints, new Service());
+        admin = new AdminServer(loop, operations);
+        discovery.listen(new Lists(), config.known().version());
         frontend = new Frontend(loop, time, complaints, exchange, endpoints, config.settings(),
             Math.max(LEAST_CONNECTIONS, half - Frontend.OVERFLOW));
+        operations.listed(config.known());
+        if (config.admin() != null) {
+            operations.share(shared, config.name(), loop);
+        }
+    }
+
+    private void mindDeadlines() {
+        for (RequestClass kind : config.settings().classes()) {
+            mostDeadlineMs = Math.max(mostDeadlineMs, (long) kind.deadlineMs());
+        }
+    }
+
+    /** What operators may do with this sidecar. */
+    private final class Service implements Operations.Service {
+        @Override
+        public boolean ready() {
+            return frontend.isReady();
+        }
+
+        @Override
+        public void drain(boolean away) {
+            if (goodbye != null) {
+                goodbye.cancel();
+            }
+            frontend.away(away);
+            goodbye = away ? time.after(LAST_COMERS_MS, frontend::finish) : null;
+        }
+
+        @Override
+        public void disabled(Set<String> endpoints) {
+            exchange.disabled(endpoints);
+        }
+    }
+
+    /** Lists go to whoever keeps endpoints' names before the decisions hear of them. */
+    private final class Lists implements ServerList.Listener {
+        @Override
+        public void listed(ServerList list) {
+            operations.listed(list);
+            exchange.listed(list);
+        }
+
+        @Override
+        public void failed() {
+            exchange.failed();
+        }
     }
 
     private static int openFiles() {
@@ -102,24 +193,31 @@
         return names == null ? USUAL_FILES : names.length;
     }
 
-    private void warm(SiteConfig config) {
+    private void warm(SiteConfig told, Runnable done) {
         long began = System.nanoTime();
-        loop.execute(() -> new Warmup(loop, config, () -> {
-            frontend.warm();
+        loop.execute(() -> new Warmup(loop, told, () -> {
             log.println("martenlatch: warm after " + (System.nanoTime() - began) / 1_000_000 + " ms");
+            done.run();
         }).start());
     }
 
     /**
-     * Reads the configuration again and moves to the discovery that it names; the rest of it holds from the
-     * next start on. One that cannot be used changes nothing.
+     * Reads the configuration again, moves to the discovery that it names and takes over its settings;
+     * addresses, limits and the known list hold from the next start on. One that cannot be used as a whole
+     * changes nothing.
      */
     public void reload() {
         loop.execute(() -> {
             try {
-                InetSocketAddress named = SiteConfig.read(file).discovery();
-                log.println("martenlatch: configuration read again: discovery is at " + named);
-                discovery.move(named);
+                SiteConfig next = config.again(file);
+                log.println("martenlatch: configuration read again: discovery is at " + next.discovery()
+                    + (next.settings().equals(config.settings()) ? "" : ", with new settings"));
+                config = next;
+                mindDeadlines();
+                endpoints.retune(next.settings().limits().connectTimeoutMs(), next.idleCloseMs());
+                exchange.retune(next.settings());
+                frontend.retune(next.settings());
+                discovery.move(next.discovery());
             } catch (IOException | RuntimeException e) {
                 log.println("martenlatch: the configuration stays as it was: " + e.getMessage());
             }
@@ -137,8 +235,15 @@
         long killedAfterMs = Math.min(mostDeadlineMs, MOST_WAIT_MS) + KILL_SLACK_MS;
         long endMs = killedAfterMs - DRAIN_SLACK_MS;
         long lastCallMs = Math.max(LINGER_MS, endMs - FINISH_MS);
-        loop.execute(() -> frontend.drain(endMs));
-        loop.schedule(frontend::closeListener, LINGER_MS, TimeUnit.MILLISECONDS);
+        loop.execute(() -> {
+            if (operations.leave()) {
+                log.println("martenlatch: another process serves at this address");
+                frontend.handOver(endMs);
+            } else {
+                frontend.drain(endMs);
+                loop.schedule(frontend::closeListener, LINGER_MS, TimeUnit.MILLISECONDS);
+            }
+        });
         loop.schedule(frontend::finish, lastCallMs, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(() -> {
             if (frontend.isEmpty()) {
@@ -170,8 +275,16 @@
         return address;
     }
 
+    /** Where operators call, or null. */
+    InetSocketAddress adminAddress() {
+        return adminAddress;
+    }
+
     /** Ends everything at once. */
     public void stop() {
+        if (operations != null) {
+            operations.close();
+        }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 }
--- a/sidecar/src/main/java/martenlatch/sidecar/Warmup.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Warmup.java
@@ -104,13 +104,11 @@
         Complaints silent = new Complaints(time, new PrintStream(OutputStream.nullOutputStream()));
         ServerList list = new ServerList(0, true, List.of(new ServerList.Entry(
             new Server("warm-up", config.settings().ownZone(), 0, 0, 0, State.READY, 1), at)));
-        SiteConfig own = new SiteConfig(ephemeral(), at, config.seed(), config.sockets(),
-            config.idleCloseMs(), config.names(), list, config.settings());
         pool = new EndpointPool(loop, time, silent, MOST_MS, config.idleCloseMs(), config.sockets());
-        Exchange exchange = new Exchange(time, silent, pool, () -> { }, own.settings(), own.seed(),
-            own.known(), Witness.NONE);
+        Exchange exchange = new Exchange(time, silent, pool, () -> { }, config.settings(),
+            config.seed(), list, Witness.NONE);
         frontend = new Frontend(loop, time, silent, exchange, pool, config.settings(), config.sockets());
-        ChannelFuture bound = frontend.listen(own.listen());
+        ChannelFuture bound = frontend.listen(ephemeral());
         bound.addListener(up -> {
             if (up.isSuccess() && !over) {
                 startClient((InetSocketAddress) bound.channel().localAddress());
--- a/sidecar/src/main/java/martenlatch/site/SiteConfig.java
+++ b/sidecar/src/main/java/martenlatch/site/SiteConfig.java
@@ -9,22 +9,31 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import martenlatch.config.Fields;
 import martenlatch.config.SettingsReader;
+import martenlatch.config.Shape;
 import martenlatch.host.ServerList;
 import martenlatch.membership.RegistryList;
+import martenlatch.policy.Contract.RequestClass;
 import martenlatch.policy.Contract.Settings;
 
 /**
  * What a sidecar is told at its start, read from the file that GW_CONFIG names.
  *
+ * @param name the sidecar's own, the same after a restart
+ * @param admin where operators call, or null
+ * @param fields what the file holds, by {@link Shape}
  * @param sockets the descriptors that the process may hold
  * @param idleCloseMs after how long at most an endpoint closes an idle connection
  */
-public record SiteConfig(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        double idleCloseMs, RegistryList.Names names, ServerList known, Settings settings) {
+public record SiteConfig(String name, InetSocketAddress listen, InetSocketAddress admin,
+        InetSocketAddress discovery, long seed, int sockets, double idleCloseMs, RegistryList.Names names,
+        ServerList known, Settings settings, Set<String> fields) {
 
     /** Reads the file; anything missing or bad is an exception whose message names field and value. */
     public static SiteConfig read(Path file) throws IOException {
@@ -41,6 +50,21 @@
         }
     }
 
+    /**
+     * Reads the file again in service. It must hold every field that it held before, and the lists that
+     * others refer to by place must be the same: a file that is a part of one, or another site's, changes
+     * nothing.
+     */
+    public SiteConfig again(Path file) throws IOException {
+        SiteConfig next = read(file);
+        Shape.check(fields, next.fields);
+        if (!next.names.equals(names)) {
+            throw new IllegalArgumentException(
+                "fields settings.azs and settings.models cannot change in service");
+        }
+        return next;
+    }
+
     private static SiteConfig of(Map<?, ?> config) {
         Map<String, Object> settings = object("settings", config.get("settings"));
         Map<String, Object> limits = object("settings.limits", settings.get("limits"));
@@ -49,11 +73,32 @@
         positive("settings.limits.try-limit", limits.get("try-limit"));
         RegistryList.Names names = new RegistryList.Names(words("settings.azs", settings.get("azs")),
             words("settings.models", settings.get("models")));
-        return new SiteConfig(Fields.address("listen", config.get("listen")),
+        Map<String, Object> shown = new HashMap<>();
+        config.forEach((field, value) -> shown.put(String.valueOf(field), value));
+        // What it holds differs from list to list.
+        shown.put("known", null);
+        Object admin = config.containsKey("admin") ? config.get("admin") : System.getenv("GW_ADMIN");
+        return new SiteConfig(String.valueOf(config.get("name")),
+            Fields.address("listen", config.get("listen")),
+            admin == null ? null : Fields.address("admin", admin),
             Fields.address("discovery", config.get("discovery")), seed(config.get("seed")),
             (int) positive("limits.sockets", object("limits", config.get("limits")).get("sockets")),
             positive("settings.limits.idle-close-ms", limits.get("idle-close-ms")), names,
-            RegistryList.of(object("known", config.get("known")), names), SettingsReader.settings(settings));
+            RegistryList.of(object("known", config.get("known")), names),
+            checked(SettingsReader.settings(settings)),
+            Shape.of(shown));
+    }
+
+    /** Requests name their class: each must have a name of its own. */
+    private static Settings checked(Settings settings) {
+        Set<String> seen = new HashSet<>();
+        for (RequestClass kind : settings.classes()) {
+            if (kind.name().isEmpty() || !seen.add(kind.name())) {
+                throw Fields.bad("settings.classes[].name",
+                    kind.name().isEmpty() ? null : kind.name() + ", twice");
+            }
+        }
+        return settings;
     }
 
     private static long seed(Object value) {
@@ -65,7 +110,7 @@
     }
 
     private static double positive(String field, Object value) {
-        if (value instanceof Double number && number > 0) {
+        if (value instanceof Double number && number > 0 && !number.isInfinite()) {
             return number;
         }
         throw Fields.bad(field, value);
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
@@ -93,7 +93,7 @@
     private final Time time;
     private final Complaints complaints;
     private final Bootstrap bootstrap;
-    private final double idleMs;
+    private double idleMs;
     private final int most;
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     /** All idle connections, the longest idle first. */
@@ -106,14 +106,19 @@
         this.time = time;
         this.complaints = complaints;
         this.most = most;
-        idleMs = idleCloseMs * IDLE_SHARE;
         bootstrap = new Bootstrap().group(loop).channelFactory(EndpointSocket::new)
             .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(dialMs));
+            .option(ChannelOption.TCP_NODELAY, true);
+        retune(dialMs, idleCloseMs);
         sweep();
     }
 
+    /** How long a connect may take, and after how long at most an endpoint closes an idle connection. */
+    public void retune(double dialMs, double idleCloseMs) {
+        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(dialMs));
+        idleMs = idleCloseMs * IDLE_SHARE;
+    }
+
     private void sweep() {
         sweeping = time.after(idleMs / SWEEPS, () -> {
             closeStale();
--- a/sidecar/src/test/java/martenlatch/RoomsTest.java
+++ b/sidecar/src/test/java/martenlatch/RoomsTest.java
@@ -17,6 +17,7 @@
         layeredArchitecture().consideringOnlyDependenciesInLayers()
             .layer("cli").definedBy("martenlatch.cli..")
             .layer("sidecar").definedBy("martenlatch.sidecar..")
+            .layer("admin").definedBy("martenlatch.admin..")
             .layer("site").definedBy("martenlatch.site..")
             .layer("benchlink").definedBy("martenlatch.benchlink..")
             .layer("http").definedBy("martenlatch.front.http..")
@@ -29,16 +30,18 @@
             .layer("policy").definedBy("martenlatch.policy..")
             .whereLayer("cli").mayNotBeAccessedByAnyLayer()
             .whereLayer("sidecar").mayOnlyBeAccessedByLayers("cli")
+            .whereLayer("admin").mayOnlyBeAccessedByLayers("sidecar")
             .whereLayer("site").mayOnlyBeAccessedByLayers("sidecar")
             .whereLayer("benchlink").mayOnlyBeAccessedByLayers("cli")
             .whereLayer("http").mayOnlyBeAccessedByLayers("sidecar")
             .whereLayer("front").mayOnlyBeAccessedByLayers("http", "sidecar")
             .whereLayer("membership").mayOnlyBeAccessedByLayers("sidecar", "site")
             .whereLayer("upstream").mayOnlyBeAccessedByLayers("sidecar", "http")
-            .whereLayer("net").mayOnlyBeAccessedByLayers("sidecar", "http", "membership", "upstream")
-            .whereLayer("host").mayOnlyBeAccessedByLayers("sidecar", "site", "http", "membership", "upstream",
-                "net")
-            .whereLayer("config").mayOnlyBeAccessedByLayers("sidecar", "site", "membership", "benchlink")
+            .whereLayer("net").mayOnlyBeAccessedByLayers("sidecar", "admin", "http", "membership", "upstream")
+            .whereLayer("host").mayOnlyBeAccessedByLayers("sidecar", "admin", "site", "http", "membership",
+                "upstream", "net")
+            .whereLayer("config").mayOnlyBeAccessedByLayers("sidecar", "admin", "site", "membership",
+                "benchlink")
             .check(program);
     }
 }
--- /dev/null
+++ b/sidecar/src/test/java/martenlatch/admin/DisabledEndpointsTest.java
@@ -0,0 +1,145 @@
+package martenlatch.admin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import martenlatch.admin.DisabledEndpoints.Verdict;
+import martenlatch.policy.Contract.Server;
+import martenlatch.policy.Contract.State;
+import org.junit.jupiter.api.Test;
+
+/** What is out by hand, as two processes and the folder they share see it. */
+class DisabledEndpointsTest {
+
+    private static Server server(String id, State state) {
+        return new Server(id, 0, 0, 0, 0, state, 1);
+    }
+
+    private static DisabledEndpoints knowing(String... ids) {
+        DisabledEndpoints made = new DisabledEndpoints();
+        made.listed(true, List.of(ids).stream().map(id -> server(id, State.READY)).toList());
+        return made;
+    }
+
+    @Test
+    void onlyWhatAListHasNamedCanBeTakenOut() {
+        DisabledEndpoints endpoints = knowing("a", "b");
+        assertEquals(Verdict.UNKNOWN, endpoints.set("c", true));
+        assertEquals(Verdict.UNKNOWN, endpoints.set("c", false));
+        assertEquals(Verdict.DONE, endpoints.set("a", true));
+        assertEquals(Verdict.DONE, endpoints.set("a", true), "again is no error");
+        assertEquals(Verdict.DONE, endpoints.set("b", false), "nor is putting back what is in");
+        assertEquals(Set.of("a"), endpoints.out());
+        endpoints.listed(false, List.of(server("a", State.GONE), server("b", State.GONE)));
+        assertEquals(Verdict.DONE, endpoints.set("b", true), "it was listed once");
+        endpoints.listed(true, List.of());
+        assertEquals(Verdict.DONE, endpoints.set("a", false), "one call back ends it, listed or not");
+        assertEquals(Set.of("b"), endpoints.out());
+    }
+
+    /** Guards against a look into the folder from before a call, which would undo the call for a while. */
+    @Test
+    void anOldLookUndoesNoCall() {
+        DisabledEndpoints endpoints = knowing("a");
+        endpoints.set("a", true);
+        assertFalse(endpoints.shown(Set.of(), 0), "looked at before the file was made");
+        assertEquals(Set.of("a"), endpoints.out());
+        assertFalse(endpoints.shown(Set.of("a"), 1));
+        assertTrue(endpoints.shown(Set.of(), 1), "the other process has put it back since");
+        assertEquals(Set.of(), endpoints.out());
+    }
+
+    @Test
+    void aCallThatCannotBeKeptHoldsInThisProcess() {
+        DisabledEndpoints endpoints = knowing("a", "b");
+        endpoints.set("a", true);
+        endpoints.notKept("a", endpoints.latest());
+        endpoints.shown(Set.of("b"), 9);
+        assertEquals(Set.of("a", "b"), endpoints.out());
+        endpoints.set("a", false);
+        endpoints.shown(Set.of("b"), endpoints.latest());
+        assertEquals(Set.of("b"), endpoints.out());
+    }
+
+    @Test
+    void tablesAreBounded() {
+        DisabledEndpoints endpoints = new DisabledEndpoints();
+        for (int i = 0; i < 30_000; i++) {
+            endpoints.listed(true, List.of(server("s" + i, State.READY)));
+        }
+        assertEquals(Verdict.UNKNOWN, endpoints.set("s0", true), "the oldest are forgotten");
+        assertEquals(Verdict.DONE, endpoints.set("s25000", true));
+        List<Server> many = new ArrayList<>();
+        for (int i = 0; i <= DisabledEndpoints.MOST_OUT; i++) {
+            many.add(server("m" + i, State.READY));
+        }
+        endpoints.listed(true, many);
+        Verdict last = Verdict.DONE;
+        for (int i = 0; i <= DisabledEndpoints.MOST_OUT; i++) {
+            last = endpoints.set("m" + i, true);
+        }
+        assertEquals(Verdict.FULL, last);
+        assertEquals(DisabledEndpoints.MOST_OUT, endpoints.out().size());
+    }
+
+    /**
+     * Two processes, calls to either, writes and looks at any time: in the end both agree with the folder.
+     */
+    @Test
+    void twoProcessesAgreeInTheEnd() {
+        for (int seed = 0; seed < 2000; seed++) {
+            Random random = new Random(seed);
+            Set<String> folder = new HashSet<>();
+            List<DisabledEndpoints> both = List.of(knowing("a", "b", "c"), knowing("a", "b", "c"));
+            List<Deque<Write>> waiting = List.of(new ArrayDeque<>(), new ArrayDeque<>());
+            long[] written = new long[2];
+            for (int step = 0; step < 60; step++) {
+                int which = random.nextInt(2);
+                DisabledEndpoints one = both.get(which);
+                switch (random.nextInt(3)) {
+                    case 0 -> {
+                        String id = "" + (char) ('a' + random.nextInt(3));
+                        boolean out = random.nextBoolean();
+                        one.set(id, out);
+                        waiting.get(which).add(new Write(id, out, one.latest()));
+                        assertEquals(out, one.out().contains(id), "a call holds at once");
+                    }
+                    case 1 -> write(folder, waiting.get(which).poll(), which, written);
+                    default -> one.shown(folder, written[which]);
+                }
+            }
+            for (int which = 0; which < 2; which++) {
+                while (!waiting.get(which).isEmpty()) {
+                    write(folder, waiting.get(which).poll(), which, written);
+                }
+            }
+            for (int which = 0; which < 2; which++) {
+                both.get(which).shown(folder, written[which]);
+                assertEquals(folder, both.get(which).out(), "seed " + seed);
+            }
+        }
+    }
+
+    private record Write(String id, boolean out, long number) {
+    }
+
+    private static void write(Set<String> folder, Write next, int which, long[] written) {
+        if (next == null) {
+            return;
+        }
+        if (next.out()) {
+            folder.add(next.id());
+        } else {
+            folder.remove(next.id());
+        }
+        written[which] = next.number();
+    }
+}
--- a/sidecar/src/test/java/martenlatch/cli/MainTest.java
+++ b/sidecar/src/test/java/martenlatch/cli/MainTest.java
@@ -6,6 +6,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -34,6 +35,7 @@
             .toString(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
             "martenlatch.cli.Main", "serve");
         builder.environment().put("GW_CONFIG", file.toString());
+        builder.environment().put("TMPDIR", folder.toString());
         return builder.redirectErrorStream(true).start();
     }
 
@@ -42,7 +44,7 @@
     void aStopBySignalIsACleanExit() throws Exception {
         Process process = serve(CONFIG);
         try (BufferedReader log = process.inputReader()) {
-            awaitLine(log, "warm after");
+            awaitLine(log, "serves at");
             // This is SIGTERM; unlike Process.destroy it leaves the log readable.
             process.toHandle().destroy();
             assertEquals(0, process.waitFor());
@@ -51,12 +53,47 @@
         }
     }
 
+    /**
+     * Guards against an upgrade that two processes can't make: the second listens beside the first, which
+     * leaves.
+     */
+    @Test
+    void aSecondProcessTakesOver() throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        String config = CONFIG.replace("\"listen\":\"127.0.0.1:0\"",
+            "\"listen\":\"127.0.0.1:" + port + "\",\"admin\":\"127.0.0.1:0\"");
+        Process old = serve(config);
+        try (BufferedReader log = old.inputReader()) {
+            awaitLine(log, "serves at");
+            Process heir = serve(config);
+            try (BufferedReader heirLog = heir.inputReader()) {
+                awaitLine(heirLog, "serves at");
+                old.toHandle().destroy();
+                awaitLine(log, "another process serves at this address");
+                assertEquals(0, old.waitFor());
+                heir.toHandle().destroy();
+                // The one that has left is no heir to it.
+                List<String> lines = heirLog.lines().toList();
+                assertTrue(lines.stream().noneMatch(line -> line.contains("another process")),
+                    lines.toString());
+                assertEquals(0, heir.waitFor());
+            } finally {
+                heir.destroyForcibly();
+            }
+        } finally {
+            old.destroyForcibly();
+        }
+    }
+
     /** Guards against a reload that ends the program: SIGHUP reads the configuration again, each time. */
     @Test
     void aSighupReadsTheConfigurationAgain() throws Exception {
         Process process = serve(CONFIG);
         try (BufferedReader log = process.inputReader()) {
-            awaitLine(log, "warm after");
+            awaitLine(log, "serves at");
             for (String port : List.of("2", "3")) {
                 Files.writeString(folder.resolve("config.json"),
                     CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + port + "\""));
--- a/sidecar/src/test/java/martenlatch/policy/DecideTest.java
+++ b/sidecar/src/test/java/martenlatch/policy/DecideTest.java
@@ -44,6 +44,111 @@
         return left;
     }
 
+    // ---- what operators say ----
+
+    /** Guards against work for an endpoint taken out by hand, whatever discovery says meanwhile. */
+    @Test
+    void aDisabledServerGetsNothingUntilItIsPutBack() {
+        Fixture f = Fixture.of(1, 0, 1).list(Fixture.servers(2));
+        f.balancer.onDisabled(f.now, Set.of("s0", "unheard-of"));
+        for (int round = 0; round < 3; round++) {
+            for (int i = 0; i < 5; i++) {
+                f.request(Fixture.REPEATABLE);
+                assertEquals("s1", f.host.last().server());
+                f.finish(f.host.last(), Outcome.OK, 10);
+            }
+            f.now += 100;
+            if (round == 0) {
+                f.list(Fixture.servers(2));
+            } else {
+                f.change(Fixture.server("s0", 0, f.now, State.READY));
+            }
+        }
+        f.balancer.onDisabled(f.now, Set.of());
+        f.now += 20_000;
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 4; i++) {
+            f.request(Fixture.REPEATABLE);
+            used.add(f.host.last().server());
+        }
+        assertEquals(Set.of("s0", "s1"), used);
+    }
+
+    /** Guards against one that is taken out to be mended and comes back with the old verdict on it. */
+    @Test
+    void aServerThatIsPutBackIsAsGoodAsNew() {
+        Fixture f = Fixture.of(1, 0, 1).list(Fixture.servers(3));
+        String bad = f.failTwice(Outcome.TIMED_OUT);
+        f.balancer.onDisabled(f.now, Set.of(bad));
+        f.balancer.onDisabled(f.now, Set.of());
+        f.now += 1;
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 3; i++) {
+            f.request(Fixture.ONCE);
+            used.add(f.host.last().server());
+        }
+        assertTrue(used.contains(bad), used + " but not " + bad);
+    }
+
+    /**
+     * Guards against an endpoint that discovery takes away while it is out, and that stays in the table for
+     * good.
+     */
+    @Test
+    void aDisabledServerThatIsGoneIsForgotten() {
+        Fixture f = Fixture.of(1, 0, 1).list(Fixture.servers(2));
+        f.balancer.onDisabled(f.now, Set.of("s0"));
+        f.change(Fixture.server("s0", 0, 0, State.GONE));
+        assertEquals(1, f.balancer.knownServers());
+        f.change(Fixture.server("s0", 0, 0, State.READY));
+        f.change(Fixture.server("s1", 0, 0, State.GONE));
+        f.request(Fixture.REPEATABLE);
+        assertEquals(0, f.host.sent.size(), "it is out still");
+    }
+
+    /**
+     * Guards against a new meaning for what was begun under the old settings, and the old one for what
+     * comes.
+     */
+    @Test
+    void newSettingsBindRequestsToComeAndLeaveThoseInHand() {
+        Contract.Settings before = Fixture.settings(1, 0, 1, true);
+        Fixture f = new Fixture(before).list(Fixture.servers(4));
+        f.request(Fixture.REPEATABLE);
+        Recorder.Sent old = f.host.last();
+        f.request(Fixture.ONCE);
+        Recorder.Sent oldOnce = f.host.last();
+        // The first class is gone, the second may be repeated now, and there is a new one; two attempts at
+        // most.
+        List<Contract.RequestClass> classes = List.of(
+            new Contract.RequestClass("order", 1000, 3000, 1, 0.5, Contract.Effect.REPEATABLE,
+                Contract.Group.ALL, 0, false),
+            new Contract.RequestClass("print", 1000, 3000, 1, 0.5, Contract.Effect.ONCE,
+                Contract.Group.ALL, 0, false));
+        f.balancer.onSettings(f.now, new Contract.Settings(1, 0, 0, 1, false, true, 0.1, 0, classes,
+            List.of(), new Contract.Limits(2, true, true, 2000, 200), before.rules()));
+        f.request(0);
+        Recorder.Sent order = f.host.last();
+        f.request(1);
+        Recorder.Sent print = f.host.last();
+        assertEquals(4, f.host.sent.size());
+
+        f.finish(old, Outcome.RESET, 5);
+        assertEquals(old.request(), f.host.last().request(), "safe to repeat, as it was when it came");
+        f.finish(f.host.last(), Outcome.RESET, 5);
+        assertEquals(2, f.host.last().attempt(), "three attempts, as when it came");
+        f.finish(oldOnce, Outcome.RESET, 5);
+        assertEquals(List.of(oldOnce.request()), f.host.failed, "must not run twice, as it was when it came");
+        f.finish(print, Outcome.RESET, 5);
+        assertEquals(List.of(oldOnce.request(), print.request()), f.host.failed);
+        f.now += 1;
+        f.finish(order, Outcome.RESET, 5);
+        assertEquals(1, f.host.last().attempt());
+        assertEquals(order.request(), f.host.last().request(), "may be repeated from now on");
+        f.finish(f.host.last(), Outcome.RESET, 5);
+        assertEquals(1, f.host.refused.size(), "two attempts at most from now on");
+    }
+
     // ---- the mechanism ----
 
     @Test
--- /dev/null
+++ b/sidecar/src/test/java/martenlatch/sidecar/OperationsTest.java
@@ -0,0 +1,302 @@
+package martenlatch.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The operators' address: endpoints out by hand, clients sent away, upgrades. */
+@Timeout(60)
+class OperationsTest {
+
+    private static final int DEADLINE_MS = 8000;
+    private static final String READY = "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    @TempDir
+    Path shared;
+    private final List<Rig> rigs = new ArrayList<>();
+
+    @AfterEach
+    void stop() throws IOException {
+        for (Rig rig : rigs) {
+            rig.close();
+        }
+    }
+
+    private Rig rig(Fake... endpoints) throws IOException {
+        Rig rig = new Rig(endpoints);
+        rig.admin = "127.0.0.1:0";
+        rig.shared = shared;
+        rigs.add(rig);
+        return rig;
+    }
+
+    private static Fake good() throws IOException {
+        return Fake.answering(200, "", "served");
+    }
+
+    private static String name(String id) {
+        return "{\"name\":\"" + id + "\"}";
+    }
+
+    // ---- calls ----
+
+    @Test
+    void callsAreAnsweredByWhatTheyAsk() throws Exception {
+        Rig rig = rig(good(), good()).start();
+        assertEquals(200, rig.operate("GET /ready", "").status());
+        assertEquals(405, rig.operate("POST /ready", "").status());
+        assertEquals(405, rig.operate("GET /drain", "").status());
+        assertEquals(404, rig.operate("POST /nothing", "").status());
+        assertEquals(404, rig.operate("POST /endpoints/disable", name("s9")).status());
+        assertEquals(404, rig.operate("POST /endpoints/enable", name("s9")).status());
+        for (String body : List.of("", "{", "[]", "{}", "{\"name\":7}", "{\"name\":\"\"}", "\0")) {
+            Wire.Message answer = rig.operate("POST /endpoints/disable", body);
+            assertEquals(400, answer.status(), body);
+            assertTrue(answer.body().contains("{\\\"name\\\":\\\"ID\\\"}"), answer.body());
+        }
+        assertEquals(413, rig.operate("POST /endpoints/disable", "x".repeat(5000)).status());
+        Wire.Message out = rig.operate("POST /endpoints/disable", name("s1"));
+        assertEquals(200, out.status());
+        assertEquals("{\"ready\":true,\"disabled\":[\"s1\"]}", out.body().strip());
+        assertEquals("close", out.headers().get("connection"));
+        assertEquals("{\"ready\":true,\"disabled\":[]}",
+            rig.operate("POST /endpoints/enable", name("s1")).body().strip());
+    }
+
+    /** Guards against callers that say nothing, or half of a call, and keep everyone else out. */
+    @Test
+    void callersThatSayNothingKeepNobodyOut() throws Exception {
+        Rig rig = rig(good()).start();
+        List<Wire> silent = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            silent.add(Wire.to(rig.sidecar.adminAddress())
+                .send(i % 2 == 0 ? "" : "POST /drain HTTP/1.1\r\nHo"));
+        }
+        assertEquals(200, rig.operate("GET /ready", "").status());
+        Wire.Message late = silent.get(59).read();
+        assertEquals(408, late.status());
+        for (Wire wire : silent) {
+            wire.awaitEnd();
+        }
+        assertEquals(200, rig.operate("GET /ready", "").status(), "half a call has drained nothing");
+    }
+
+    @Test
+    void itIsNotReadyWithNoEndpoint() throws Exception {
+        assertEquals(503, rig().start().operate("GET /ready", "").status());
+    }
+
+    // ---- endpoints out by hand ----
+
+    /**
+     * Guards against new work for an endpoint that is out, also when discovery lists it anew, and
+     * restarted.
+     */
+    @Test
+    void anEndpointThatIsOutGetsNothingUntilItIsPutBack() throws Exception {
+        Fake first = good();
+        Fake second = good();
+        LinkedBlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        Rig rig = rig(first, second);
+        rig.askWithinMs = 20;
+        rig.discovery.script = (wire, request) -> Fake.answer(wire, 200, "", answers.take());
+        rig.start();
+        assertEquals(200, rig.operate("POST /endpoints/disable", name("s0")).status());
+        int before = first.requests.size();
+        for (int round = 0; round < 3; round++) {
+            for (int i = 0; i < 5; i++) {
+                assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+            }
+            answers.add(round == 0
+                ? Rig.list(2, true, Rig.line(0, first.address(), "in_service", 0),
+                    Rig.line(1, second.address(), "in_service", 0))
+                : Rig.list(3, false, Rig.line(0, first.address(), "in_service", 1000)));
+            int asked = round + 2;
+            Rig.await("the list is there", () -> rig.discovery.requests.size() >= asked);
+        }
+        assertEquals(before, first.requests.size());
+        assertEquals(200, rig.operate("POST /endpoints/enable", name("s0")).status());
+        Rig.await("it is used again", () -> {
+            try (Wire one = rig.client(); Wire other = rig.client()) {
+                one.send(rig.request("order", DEADLINE_MS));
+                other.send(rig.request("order", DEADLINE_MS));
+                one.read();
+                other.read();
+                return first.requests.size() > before;
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+    }
+
+    /** Guards against a ban that ends with the process, or that the other one of two does not hear of. */
+    @Test
+    void whatIsOutHoldsForEveryProcessOfTheSidecar() throws Exception {
+        Fake first = good();
+        Fake second = good();
+        Rig old = rig(first, second).start();
+        assertEquals(200, old.operate("POST /endpoints/disable", name("s0")).status());
+        Rig next = rig(first, second).start();
+        assertTrue(next.logged().contains("out by hand since before this start: [s0]"), next.logged());
+        for (int i = 0; i < 5; i++) {
+            assertEquals(200, next.ask("order", DEADLINE_MS).status());
+        }
+        assertEquals(0, first.requests.size());
+        assertEquals(200, next.operate("POST /endpoints/disable", name("s1")).status());
+        Rig.await("the old one hears of it", () -> old.logged().contains("out by hand: [s0, s1]"));
+        assertEquals(503, old.ask("order", DEADLINE_MS).status(), "none is left");
+        assertEquals(200, next.operate("POST /endpoints/enable", name("s0")).status());
+        Rig.await("and of this", () -> old.logged().contains("out by hand: [s1]"));
+        assertEquals(200, old.ask("order", DEADLINE_MS).status());
+        assertEquals(1, first.requests.size());
+    }
+
+    /** Guards against a yes for what a broken disk has not kept; the endpoint is out all the same. */
+    @Test
+    void whatCannotBeKeptIsToldAndHolds() throws Exception {
+        Rig rig = rig(good(), good()).start();
+        Files.delete(shared.resolve("martenlatch-n0").resolve(servingFile()));
+        Files.delete(shared.resolve("martenlatch-n0"));
+        Wire.Message answer = rig.operate("POST /endpoints/disable", name("s0"));
+        assertEquals(500, answer.status());
+        assertTrue(answer.body().contains("could not be kept"), answer.body());
+        for (int i = 0; i < 5; i++) {
+            assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+        }
+        assertEquals(0, rig.endpoints.get(0).requests.size());
+    }
+
+    private String servingFile() throws IOException {
+        try (var files = Files.list(shared.resolve("martenlatch-n0"))) {
+            return files.findFirst().orElseThrow().getFileName().toString();
+        }
+    }
+
+    // ---- clients sent away ----
+
+    /**
+     * Guards against clients that stay when they are sent away, and a sidecar that does not take them back.
+     */
+    @Test
+    void clientsAreSentAwayAndTakenBack() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        Rig rig = rig(new Fake((wire, request) -> {
+            if (request.headers().get("x-request-id").equals("r0")) {
+                release.await();
+            }
+            Fake.answer(wire, 200, "", "served");
+        })).start();
+        Wire inHand = rig.client().send(rig.request("order", DEADLINE_MS));
+        Rig.await("it is in hand", () -> rig.attempts() == 1);
+        Wire used = rig.client();
+        Wire idle = rig.client();
+        assertEquals(null, used.send(rig.request("order", DEADLINE_MS)).read().headers().get("connection"));
+        assertEquals(200, idle.send(rig.request("order", DEADLINE_MS)).read().status());
+
+        assertEquals(200, rig.operate("POST /drain", "").status());
+        assertEquals(503, rig.operate("GET /ready", "").status());
+        try (Wire asking = rig.client()) {
+            assertEquals(503, asking.send(READY).read().status());
+        }
+        Wire.Message last = used.send(rig.request("order", DEADLINE_MS)).read();
+        assertEquals(200, last.status(), "who is here is served");
+        assertEquals("close", last.headers().get("connection"));
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status(), "and so is who comes last");
+        idle.awaitEnd();
+        release.countDown();
+        Wire.Message late = inHand.read();
+        assertEquals(200, late.status());
+        assertEquals("close", late.headers().get("connection"));
+
+        assertEquals(200, rig.operate("POST /undrain", "").status());
+        assertEquals(200, rig.operate("GET /ready", "").status());
+        try (Wire back = rig.client()) {
+            assertEquals(200, back.send(READY).read().status());
+            Wire.Message served = back.send(rig.request("order", DEADLINE_MS)).read();
+            assertEquals(null, served.headers().get("connection"));
+            Thread.sleep(1200);
+            assertEquals(200, back.send(rig.request("order", DEADLINE_MS)).read().status(),
+                "what the drain had still in mind is forgotten");
+        }
+    }
+
+    // ---- upgrades ----
+
+    /** Guards against clients turned back while the old process leaves and the new one is there already. */
+    @Test
+    void theOldProcessLeavesNobodyAtTheDoor() throws Exception {
+        Fake endpoint = good();
+        Rig old = rig(endpoint).start();
+        Wire kept = old.client();
+        assertEquals(200, kept.send(old.request("order", DEADLINE_MS)).read().status());
+        // The old loop is held while clients connect: they wait in its queue when it is told to leave.
+        CountDownLatch hold = new CountDownLatch(1);
+        old.sidecar.loop().execute(() -> {
+            try {
+                hold.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        List<Wire> waiting = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            waiting.add(old.client().send(old.request("order", DEADLINE_MS)));
+        }
+        Rig next = rig(endpoint);
+        next.listen = "127.0.0.1:" + old.sidecar.address().getPort();
+        next.start();
+        Thread drain = new Thread(old.sidecar::drain);
+        drain.start();
+        Rig.await("it is told to leave", () -> old.logged().contains("draining"));
+        hold.countDown();
+        for (Wire wire : waiting) {
+            Wire.Message answer = wire.read();
+            assertTrue(answer.status() == 200 || answer.status() == 503, answer.line());
+            assertEquals("close", answer.headers().get("connection"));
+        }
+        Rig.await("it sees its heir", () -> old.logged().contains("another process serves at this address"));
+        assertEquals(200, kept.send(READY).read().status(), "the address is served");
+        for (int i = 0; i < 20; i++) {
+            try (Wire wire = next.client()) {
+                wire.send("GET /api?q=1 HTTP/1.1\r\nX-Request-Id: n" + i + "\r\nX-Class: read\r\n"
+                    + "X-Deadline-Ms: 8000\r\nHost: x\r\n\r\n");
+                assertEquals(200, wire.read().status());
+            }
+        }
+        drain.join();
+        assertFalse(old.logged().contains("not all connections"), old.logged());
+        assertThrows(IOException.class, () -> {
+            kept.send(READY).read();
+        });
+    }
+
+    /** Guards against a listener that closes early where nobody else listens. */
+    @Test
+    void withoutAnHeirTheDoorStaysOpenForAWhile() throws Exception {
+        Rig rig = rig(good()).start();
+        Thread drain = new Thread(rig.sidecar::drain);
+        drain.start();
+        Rig.await("it drains", () -> {
+            try (Wire wire = rig.client()) {
+                return wire.send(READY).read().status() == 503;
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+        drain.join();
+    }
+}
--- a/sidecar/src/test/java/martenlatch/sidecar/ReloadTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/ReloadTest.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** New configurations under load: the watch moves, and nothing else is disturbed. */
 @Timeout(60)
@@ -85,6 +87,69 @@
         }
     }
 
+    /** Guards against a class that is known too late, or forgotten while its requests are in hand. */
+    @Test
+    void classesComeAndGo() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        before.script = (wire, request) -> {
+            if (request.headers().get("x-request-id").equals("r1")) {
+                release.await();
+            }
+            Fake.answer(wire, 200, "", "before");
+        };
+        rig.start();
+        assertEquals(400, rig.ask("print", DEADLINE_MS).status());
+        try (Wire inHand = rig.client()) {
+            inHand.send(rig.request("order", DEADLINE_MS));
+            Rig.await("it is in hand", () -> before.requests.size() == 1);
+            Files.writeString(rig.configFile, rig.config().replace("\"order\"", "\"print\"")
+                .replace("\"try-limit\":3", "\"try-limit\":1"));
+            rig.sidecar.reload();
+            Rig.await("it is told", () -> rig.logged().contains("with new settings"));
+            assertEquals(200, rig.ask("print", DEADLINE_MS).status());
+            assertEquals(400, rig.ask("order", DEADLINE_MS).status());
+            release.countDown();
+            assertEquals("before", inHand.read().body());
+        }
+        before.script = (wire, request) -> wire.reset();
+        int sent = before.requests.size();
+        assertEquals(503, rig.ask("read", DEADLINE_MS).status());
+        assertEquals(sent + 1, before.requests.size(), "one attempt at most from now on");
+    }
+
+    /**
+     * Guards against half of a file taken for the whole: nothing of it holds, the address of discovery
+     * either.
+     */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "\"hard-limit-ms\":9000|\"hard-limit-ms\":-1|deadline must be above 0 but is -1.0",
+        "\"hard-limit-ms\":9000|\"hard-limit-ms\":\"9\"|hard-limit-ms should be a number but is 9",
+        "\"hard-limit-ms\":9000,||field settings.classes[].hard-limit-ms is missing",
+        "\"effect\":\"once\",||field settings.classes[].effect is missing",
+        "\"effect\":\"once\"|\"effect\":\"twice\"|effect is unknown: twice",
+        "\"order\"|\"read\"|field settings.classes[].name is not usable: read, twice",
+        "\"try-limit\":3|\"try-limit\":0|field settings.limits.try-limit is not usable: 0.0",
+        "\"try-limit\":3|\"try-limit\":1e999|field settings.limits.try-limit is not usable: Infinity",
+        "\"cancel\":true,||field settings.limits.cancel is missing",
+        "\"cold-ms\":1000,||field settings.rules.cold-ms is missing",
+        "\"azs\":[\"a\"]|\"azs\":[\"b\"]|settings.azs and settings.models cannot change",
+        "\"name\":\"n0\",||field name is missing"})
+    void aPartOfAFileChangesNothing(String part, String spoilt, String told) throws Exception {
+        rig.askWithinMs = 20;
+        rig.start();
+        Rig.await("a watch is on", () -> rig.discovery.requests.size() == 1);
+        String good = rig.config().replace(rig.discovery.address(), after.address());
+        int last = good.lastIndexOf(part);
+        Files.writeString(rig.configFile, good.substring(0, last) + (spoilt == null ? "" : spoilt)
+            + good.substring(last + part.length()));
+        rig.sidecar.reload();
+        Rig.await("it is told", () -> rig.logged().contains(told));
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+        assertEquals(1, rig.discovery.open.get(), "the old watch goes on");
+        assertEquals(0, after.connections.get());
+    }
+
     @Test
     void aFileThatCannotBeUsedChangesNothing() throws Exception {
         rig.askWithinMs = 20;
--- a/sidecar/src/test/java/martenlatch/sidecar/Rig.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/Rig.java
@@ -27,6 +27,10 @@
     int askWithinMs = 600_000;
     int sockets = 1024;
     int aimMs = 9000;
+    /** The folder that outlives the sidecar, and where it takes operators' calls; none at first. */
+    Path shared;
+    String admin;
+    String listen = "127.0.0.1:0";
     private int requests;
 
     Rig(Fake... endpoints) throws IOException {
@@ -52,7 +56,7 @@
             lines.add(line(i, endpoints.get(i).address(), "in_service", 0));
         }
         return """
-            {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+            {"name":"n0","listen":"%s",%s"discovery":"%s","seed":"8c1f30d27a5be964",
             "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,
             "settings":{"azs":["a"],"models":["m"],"replicas-of-me":1,"slot-no":0,"tier":0,"zone":0,
             "membership-mode":"on_request","classes":[
@@ -61,13 +65,15 @@
             "limits":{"cancel":true,"dial-timeout-ms":2000,"idle-close-ms":%d,"max-retry-after-ms":2000,
             "parallel-tries":true,"retry-after":false,"try-limit":3},
             "rules":{"cold-share":0.5,"cold-ms":1000,"tip-multiple":3,"fall-ms":1000,"drain-grace-ms":500,
-            "ask-within-ms":%d}}}""".formatted(discovery.address(), sockets, list(1, true,
+            "ask-within-ms":%d}}}""".formatted(listen,
+                admin == null ? "" : "\"admin\":\"" + admin + "\",", discovery.address(), sockets,
+                list(1, true,
                 lines.toArray(String[]::new)), aimMs, aimMs, idleCloseMs, askWithinMs);
     }
 
     Rig start() throws IOException {
         configFile = Files.writeString(Files.createTempFile("config", ".json"), config());
-        sidecar = Sidecar.start(configFile, new PrintStream(log, true, StandardCharsets.UTF_8));
+        sidecar = Sidecar.start(configFile, shared, new PrintStream(log, true, StandardCharsets.UTF_8));
         return this;
     }
 
@@ -94,6 +100,14 @@
         Thread.sleep(5);
     }
 
+    /** A call of an operator's; answers are {@code {"..."}} with a status. */
+    Wire.Message operate(String call, String body) throws IOException {
+        try (Wire wire = Wire.to(sidecar.adminAddress())) {
+            return wire.send(call + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                + body).read();
+        }
+    }
+
     int attempts() {
         return endpoints.stream().mapToInt(endpoint -> endpoint.requests.size()).sum();
     }
--- a/tools/src/main/java/martenlatch/demo/Demo.java
+++ b/tools/src/main/java/martenlatch/demo/Demo.java
@@ -90,7 +90,7 @@
         Sidecar sidecar = null;
         try {
             Files.writeString(config, config());
-            sidecar = Sidecar.start(config, new PrintStream(log, true, StandardCharsets.UTF_8));
+            sidecar = Sidecar.start(config, null, new PrintStream(log, true, StandardCharsets.UTF_8));
             out.printf("%d endpoints in 2 zones, discovery at %s, one sidecar at %s; %d requests a second "
                 + "for "
                 + "%d s%n", ENDPOINTS, world.discovery().address(), sidecar.address(), rate, seconds);
