Long bodies: answers and requests passed on as they come, in bounded memory

Change: Rest and PassedOn (answers), Upload and BodyRoom (requests), pace instead of a time for bodies, buffers of the system bounded, an attempt is lost only behind the last of what has come (a short answer that ended with its connection was told as reset: seen by probe, mended here). A call whose body is coming has no running deadline in the host. Ruled out: head sizes (no refusal among 1,600), 100-continue (taken before).

--- a/sidecar/src/main/java/martenlatch/front/http/ClientGuard.java
+++ b/sidecar/src/main/java/martenlatch/front/http/ClientGuard.java
@@ -17,20 +17,34 @@
     /** Fired when a request has begun and has not become whole in time. */
     static final Object LATE = new Object();
 
-    /** A request must be whole so long after its first byte, the first one so long after the connect. */
-    private static final int READ_MS = 2000;
+    /** A head must be whole so long after its first byte, the first one so long after the connect. */
+    private static final int HEAD_MS = 2500;
+    /**
+     * A body must come at this pace, in bytes a millisecond, and may fall behind it by so many bytes: 2 s
+     * of it.
+     */
+    private static final int PACE = 16;
+    private static final int MOST_BEHIND = 2000 * PACE;
+    private static final int TICK_MS = 250;
     /** Between requests a connection is closed after this time. */
     private static final int IDLE_MS = 5000;
     /** What a client still sends when it has its last answer is read, so that no reset destroys that. */
     private static final int LINGER_MS = 300;
     private static final int MOST_LINGERING_BYTES = 256 * 1024;
+    /** The same for who is in the middle of a long body, and may look for an answer only now and then. */
+    private static final int BODY_LINGER_MS = 2000;
+    private static final long MOST_BODY_BYTES = RequestReader.MOST_BODY;
 
     private final SocketChannel channel;
     private Future<?> limit;
     private boolean begun;
+    private boolean inBody;
     private boolean waiting;
     private boolean deaf;
+    /** A body was still coming when its connection was ended. */
+    private boolean cutShort;
     private long unheard;
+    private long behind;
 
     ClientGuard(SocketChannel channel) {
         this.channel = channel;
@@ -38,14 +52,16 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        await(ctx, READ_MS);
+        await(ctx, HEAD_MS);
         ctx.fireChannelActive();
     }
 
     private void await(ChannelHandlerContext ctx, int ms) {
         stopClock();
         limit = channel.eventLoop().schedule(() -> {
-            if (begun && !deaf) {
+            if (begun && inBody && !deaf && keepsPace(ms)) {
+                await(ctx, TICK_MS);
+            } else if (begun && !deaf) {
                 ctx.fireUserEventTriggered(LATE);
             } else {
                 channel.close();
@@ -53,6 +69,14 @@
         }, ms, TimeUnit.MILLISECONDS);
     }
 
+    /** Whether a body has come fast enough; time in which we did not read is not the client's. */
+    private boolean keepsPace(int ms) {
+        if (channel.config().isAutoRead()) {
+            behind = Math.max(0, behind + (long) ms * PACE);
+        }
+        return behind <= MOST_BEHIND;
+    }
+
     private void stopClock() {
         if (limit != null) {
             limit.cancel(false);
@@ -62,10 +86,11 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+        int size = ((ByteBuf) bytes).readableBytes();
         if (deaf) {
-            unheard += ((ByteBuf) bytes).readableBytes();
+            unheard += size;
             ((ByteBuf) bytes).release();
-            if (unheard > MOST_LINGERING_BYTES) {
+            if (unheard > (cutShort ? MOST_BODY_BYTES : MOST_LINGERING_BYTES)) {
                 channel.close();
             }
             return;
@@ -74,15 +99,23 @@
             begun = true;
             if (waiting) {
                 waiting = false;
-                await(ctx, READ_MS);
+                await(ctx, HEAD_MS);
             }
         }
+        behind -= size;
         ctx.fireChannelRead(bytes);
     }
 
+    /** A head is whole: its body is awaited by another measure. */
+    void headTaken() {
+        inBody = true;
+        behind = 0;
+    }
+
     /** A request is whole: until it is answered the connection may take its time. */
     void requestTaken() {
         begun = false;
+        inBody = false;
         waiting = false;
         stopClock();
     }
@@ -91,7 +124,7 @@
     void answered() {
         if (!deaf && channel.isActive()) {
             waiting = !begun;
-            await(channel.pipeline().context(this), begun ? READ_MS : IDLE_MS);
+            await(channel.pipeline().context(this), begun ? HEAD_MS : IDLE_MS);
         }
     }
 
@@ -100,15 +133,20 @@
         deaf = true;
     }
 
-    /** Ends the connection once its last answer is written, in a way that lets that answer arrive. */
-    void endAfter(ChannelFuture lastAnswer) {
+    /**
+     * Ends the connection once its last answer is written, in a way that lets that answer arrive.
+     *
+     * @param inBody whether the client is in the middle of a body
+     */
+    void endAfter(ChannelFuture lastAnswer, boolean inBody) {
         goDeaf();
+        cutShort = inBody;
         channel.config().setAutoRead(true);
-        await(channel.pipeline().context(this), READ_MS);
+        await(channel.pipeline().context(this), HEAD_MS);
         lastAnswer.addListener(written -> {
             if (written.isSuccess()) {
                 channel.shutdownOutput();
-                await(channel.pipeline().context(this), LINGER_MS);
+                await(channel.pipeline().context(this), inBody ? BODY_LINGER_MS : LINGER_MS);
             } else {
                 channel.close();
             }
--- a/sidecar/src/main/java/martenlatch/front/http/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/front/http/Frontend.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,15 +13,19 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
@@ -37,10 +40,12 @@
 import martenlatch.host.Client;
 import martenlatch.host.Complaints;
 import martenlatch.host.Exchange;
+import martenlatch.host.Rest;
 import martenlatch.host.Time;
 import martenlatch.net.Buffers;
 import martenlatch.policy.Contract.Settings;
 import martenlatch.upstream.EndpointPool;
+import martenlatch.upstream.Upload;
 
 /** The listener for clients: takes their requests, turns away what is none, writes the final answers. */
 public final class Frontend {
@@ -63,6 +68,7 @@
     private final int most;
     private CallReader calls;
     private final EndpointPool endpoints;
+    private final BodyRoom room = new BodyRoom(Runtime.getRuntime().maxMemory());
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Those that have asked for nothing yet or have had their last answer, the oldest first. */
     private final Set<Connection> expendable = new LinkedHashSet<>();
@@ -98,6 +104,9 @@
             .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
             .childOption(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Buffers.WATER_MARK)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, Buffers.reads())
+            .childOption(ChannelOption.SO_SNDBUF, Buffers.SYSTEM)
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel accepted) {
@@ -202,21 +211,29 @@
         listener.config().setAutoRead(room);
     }
 
-    private final class Connection extends SimpleChannelInboundHandler<Object> {
+    private final class Connection extends SimpleChannelInboundHandler<Object> implements Upload.Source {
         private final SocketChannel channel;
         private final ClientGuard guard;
-        private final RequestReader reader = new RequestReader();
+        private final RequestReader reader;
         /** In the order of the requests, which is the order that HTTP asks answers to be in. */
         private final Deque<Reply> replies = new ArrayDeque<>();
         /** There was no room for it: it is told to come back later. */
         private boolean surplus;
         private boolean hasAsked;
+        /** The request whose body is still coming, and whether it comes faster than it can be passed on. */
+        private Reply coming;
+        private boolean bodyPaused;
+        /** The request that was coming has had its answer before its end. */
+        private boolean bodyCut;
+        /** The answer that is being passed on; it stands first among the replies. */
+        private Reply passing;
         /** The last answer is on its way. */
         private boolean ending;
 
         Connection(SocketChannel channel) {
             this.channel = channel;
             guard = new ClientGuard(channel);
+            reader = new RequestReader(guard, room, this);
         }
 
         void addTo(ChannelPipeline pipeline) {
@@ -242,37 +259,78 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, Object message) {
+            if (message == RequestReader.ALL_CAME) {
+                Reply whole = coming;
+                coming = null;
+                guard.requestTaken();
+                exchange.hasCome(whole.id, endsAt);
+                return;
+            }
+            if (message instanceof RequestReader.Refusal refusal && coming != null) {
+                // Its body does not come to an end: no endpoint has had the whole of it.
+                Reply broken = coming;
+                exchange.clientGone(broken.id);
+                broken.giveUp(refusal.status(), refusal.why());
+                return;
+            }
             Reply reply = new Reply(this);
             replies.add(reply);
             expendable.remove(this);
             idle.remove(this);
-            guard.requestTaken();
+            if (!(message instanceof RequestReader.Begun)) {
+                guard.requestTaken();
+            }
             mindReading();
             if (message instanceof RequestReader.Refusal refusal) {
                 reply.giveUp(refusal.status(), refusal.why());
             } else if (replies.size() > MOST_AHEAD) {
                 reply.giveUp(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests ahead of answers");
+            } else if (message instanceof RequestReader.Begun begun) {
+                coming = reply;
+                take(reply, begun.head(), new byte[0], begun.upload());
             } else {
-                take(reply, (FullHttpRequest) message);
+                RequestReader.Whole whole = (RequestReader.Whole) message;
+                reply.bodySize = whole.body().length;
+                take(reply, whole.head(), whole.body(), null);
+            }
+        }
+
+        @Override
+        public void pause(boolean paused) {
+            bodyPaused = paused;
+            mindReading();
+        }
+
+        @Override
+        public void goOn() {
+            // Not among the answers to earlier requests: the client goes on by itself after a while.
+            if (replies.isEmpty() || replies.peek() == coming) {
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
         }
 
-        private void take(Reply reply, FullHttpRequest request) {
+        private void take(Reply reply, HttpRequest request, byte[] body, Upload upload) {
             reply.keepAlive = HttpUtil.isKeepAlive(request);
+            reply.knowsChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
             int query = request.uri().indexOf('?');
             switch (query < 0 ? request.uri() : request.uri().substring(0, query)) {
-                case "/api" -> api(reply, request);
+                case "/api" -> api(reply, request, body, upload);
                 case "/health/ready" -> ready(reply);
                 default -> reply.plain(HttpResponseStatus.NOT_FOUND, "unknown path");
             }
         }
 
         private void mindReading() {
-            channel.config().setAutoRead(ending || replies.size() < MOST_AHEAD && channel.isWritable());
+            channel.config().setAutoRead(ending
+                || !bodyPaused && replies.size() < MOST_AHEAD && channel.isWritable());
         }
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (passing != null) {
+                passing.rest.pause(!channel.isWritable());
+            }
             mindReading();
         }
 
@@ -282,7 +340,7 @@
                 ready ? "ready" : away || stopping ? "draining" : warm ? "no endpoint is known" : "starting");
         }
 
-        private void api(Reply reply, FullHttpRequest request) {
+        private void api(Reply reply, HttpRequest request, byte[] body, Upload upload) {
             CallReader.Reading reading = calls.read(new Head(request), time.now(), endsAt);
             if (reading.request() == null) {
                 reply.giveUp(HttpResponseStatus.valueOf(reading.status()), reading.why());
@@ -295,32 +353,35 @@
             } else {
                 reply.id = reading.request().id();
                 hasAsked = true;
-                exchange.request(reading.request(), endpoints.carrier(message(request)), reply);
+                exchange.request(reading.request(), endpoints.carrier(message(request, body, upload)), reply,
+                    upload != null);
             }
         }
 
-        private EndpointPool.Message message(FullHttpRequest request) {
+        private EndpointPool.Message message(HttpRequest request, byte[] body, Upload upload) {
             HttpHeaders headers = request.headers().copy();
             HOP_BY_HOP.forEach(headers::remove);
-            byte[] body = ByteBufUtil.getBytes(request.content());
             if (body.length > 0) {
                 headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             }
-            return new EndpointPool.Message(request.method(), request.uri(), headers, body);
+            return new EndpointPool.Message(request.method(), request.uri(), headers, body, upload);
         }
 
         /** Writes the answers that are there, as far as none before them is missing. */
         private void flush() {
-            while (!ending && !replies.isEmpty() && replies.peek().response != null) {
-                Reply reply = replies.poll();
-                ending = !reply.keepAlive || finishing && replies.isEmpty();
-                if (ending) {
+            while (!ending && passing == null && !replies.isEmpty() && replies.peek().response != null) {
+                Reply reply = replies.peek();
+                reply.isLast = !reply.keepAlive || finishing && replies.size() == 1;
+                if (reply.isLast) {
                     reply.response.headers().set(HttpHeaderNames.CONNECTION, "close");
                 }
                 ChannelFuture written = channel.writeAndFlush(reply.response);
-                if (ending) {
-                    reader.stop();
-                    guard.endAfter(written);
+                if (reply.rest != null) {
+                    passing = reply;
+                    reply.rest.to(reply);
+                } else {
+                    replies.poll();
+                    endAfter(reply, written);
                 }
             }
             if (ending) {
@@ -332,17 +393,47 @@
             mindReading();
         }
 
+        private void endAfter(Reply reply, ChannelFuture written) {
+            ending = reply.isLast;
+            if (ending) {
+                reader.stop();
+                guard.endAfter(written, bodyCut);
+            }
+        }
+
+        /**
+         * An answer has been passed on to its end, or is cut short, which the client must be able to tell.
+         */
+        private void passedOn(Reply reply, boolean whole) {
+            passing = null;
+            replies.poll();
+            if (!whole) {
+                if (reply.untilClose) {
+                    channel.config().setSoLinger(0);
+                }
+                channel.close();
+                return;
+            }
+            endAfter(reply, channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+            flush();
+        }
+
         /** The connection says no more: what else was asked on it has nobody to answer to. */
         private void drop() {
             List<Reply> left = List.copyOf(replies);
             replies.clear();
+            passing = null;
             if (connections.contains(this)) {
                 expendable.add(this);
             }
             for (Reply reply : left) {
+                reply.freeRoom();
                 if (reply.id != null && reply.response == null) {
                     exchange.clientGone(reply.id);
                 }
+                if (reply.rest != null) {
+                    reply.rest.abandon();
+                }
             }
         }
 
@@ -356,7 +447,7 @@
         }
     }
 
-    private record Head(FullHttpRequest request) implements CallReader.Head {
+    private record Head(HttpRequest request) implements CallReader.Head {
         @Override
         public String method() {
             return request.method().name();
@@ -374,11 +465,21 @@
     }
 
     /** The answer that one request on a connection will get. */
-    private static final class Reply implements Client {
+    private final class Reply implements Client, Rest.Taker {
         private final Connection connection;
         private String id;
         private boolean keepAlive;
-        private FullHttpResponse response;
+        private boolean knowsChunks;
+        /** What its body takes of the room. */
+        private int bodySize;
+        private HttpResponse response;
+        /**
+         * What is passed on after the response's head, or null; and whether only the connection's end ends
+         * it.
+         */
+        private Rest rest;
+        private boolean untilClose;
+        private boolean isLast;
 
         Reply(Connection connection) {
             this.connection = connection;
@@ -386,6 +487,10 @@
 
         @Override
         public void served(Answer answer) {
+            if (answer.rest() != null) {
+                passOn(answer);
+                return;
+            }
             FullHttpResponse served = response(HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()));
             if (answer.contentType() != null) {
                 served.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
@@ -393,6 +498,47 @@
             answer(served);
         }
 
+        private void passOn(Answer answer) {
+            rest = answer.rest();
+            HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            if (answer.contentType() != null) {
+                head.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
+            }
+            if (rest.length() >= 0) {
+                HttpUtil.setContentLength(head, rest.length());
+            } else if (knowsChunks) {
+                HttpUtil.setTransferEncodingChunked(head, true);
+            } else {
+                untilClose = true;
+                keepAlive = false;
+            }
+            answer(head);
+        }
+
+        @Override
+        public void part(byte[] bytes) {
+            connection.channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+            if (!connection.channel.isWritable()) {
+                rest.pause(true);
+            }
+        }
+
+        @Override
+        public void end(boolean whole) {
+            Rest over = rest;
+            rest = null;
+            if (connection.passing == this) {
+                connection.passedOn(this, whole);
+            } else {
+                over.abandon();
+            }
+        }
+
+        private void freeRoom() {
+            room.release(bodySize);
+            bodySize = 0;
+        }
+
         @Override
         public void turnedAway(int status) {
             giveUp(HttpResponseStatus.valueOf(status), "turned away");
@@ -425,8 +571,16 @@
             plain(status, why);
         }
 
-        private void answer(FullHttpResponse made) {
+        private void answer(HttpResponse made) {
             response = made;
+            freeRoom();
+            if (connection.coming == this) {
+                // The rest of its body is of no use any more.
+                connection.coming = null;
+                connection.bodyCut = true;
+                keepAlive = false;
+                connection.reader.stop();
+            }
             connection.flush();
         }
 
--- a/sidecar/src/main/java/martenlatch/host/Exchange.java
+++ b/sidecar/src/main/java/martenlatch/host/Exchange.java
@@ -44,12 +44,18 @@
         final int mostTries;
         final List<Try> tries = new ArrayList<>(2);
         Time.Timer overdue;
+        /** When the client stops waiting; its time does not begin before its last byte has come. */
+        double deadlineMs;
+        boolean coming;
+        final double takenAt;
         boolean concluded;
         /** Attempts whose end the module has not been told yet. */
         int out;
 
-        Open(Request request, int mostTries, Carrier carrier, Client client) {
+        Open(Request request, double takenAt, int mostTries, Carrier carrier, Client client) {
             this.request = request;
+            this.takenAt = takenAt;
+            deadlineMs = request.deadlineMs();
             this.mostTries = mostTries;
             this.carrier = carrier;
             this.client = client;
@@ -60,15 +66,17 @@
     private static final class Try {
         final int number;
         final String server;
-        final double sentAt;
+        final double waitMs;
+        double sentAt;
         Carrier.Attempt attempt;
         Time.Timer timeout;
         boolean ended;
 
-        Try(int number, String server, double sentAt) {
+        Try(int number, String server, double sentAt, double waitMs) {
             this.number = number;
             this.server = server;
             this.sentAt = sentAt;
+            this.waitMs = waitMs;
         }
     }
 
@@ -129,19 +137,60 @@
     // ---- what happens ----
 
     public void request(Request request, Carrier carrier, Client client) {
-        Open open = new Open(request, settings.limits().tries(), carrier, client);
+        request(request, carrier, client, false);
+    }
+
+    /**
+     * As above; {@code coming} if the request's last byte has not come yet. Its deadline is told as if it
+     * had, and moves until {@link #hasCome}: before that no time of it has passed, and no attempt is given
+     * up.
+     */
+    public void request(Request request, Carrier carrier, Client client, boolean coming) {
+        Open open = new Open(request, time.now(), settings.limits().tries(), carrier, client);
         table.put(request.id(), open);
         witness.taken(request);
-        open.overdue = time.after(request.deadlineMs() - time.now() + OVERDUE_MS, () -> overdue(open));
+        open.coming = coming;
+        if (!coming) {
+            watch(open);
+        }
         raise(open, now -> module.onRequest(now, request));
     }
 
+    private void watch(Open open) {
+        open.overdue = time.after(open.deadlineMs - time.now() + OVERDUE_MS, () -> overdue(open));
+    }
+
+    /** The last byte of a request has come: its time begins, and no deadline is later than {@code latest}. */
+    public void hasCome(String id, double latest) {
+        Open open = table.get(id);
+        if (open == null || !open.coming) {
+            return;
+        }
+        open.coming = false;
+        double now = time.now();
+        open.deadlineMs = Math.min(latest, open.deadlineMs + now - open.takenAt);
+        if (!open.concluded) {
+            watch(open);
+        }
+        for (Try made : open.tries) {
+            if (!made.ended) {
+                made.sentAt = now;
+                made.timeout = time.after(Math.min(made.waitMs, open.deadlineMs - now),
+                    () -> giveUp(open, made, Outcome.TIMED_OUT));
+            }
+        }
+    }
+
     /** The client's connection has ended before its answer. */
     public void clientGone(String id) {
         Open open = table.get(id);
         if (open != null && !open.concluded) {
             conclude(open, Witness.Final.GONE, 0);
             raise(open, now -> module.onClientGone(now, id));
+            if (open.coming) {
+                // What has not come whole never will: no attempt of it can run any more.
+                List.copyOf(open.tries).forEach(made -> giveUp(open, made, Outcome.CANCELED));
+            }
         }
     }
 
@@ -218,22 +267,26 @@
             return;
         }
         double now = time.now();
-        Try made = new Try(open.tries.size(), server, now);
+        double left = open.deadlineMs - (open.coming ? open.takenAt : now);
+        double wait = timeoutMs == 0 ? left : Math.min(timeoutMs, left);
+        Try made = new Try(open.tries.size(), server, now, wait);
         open.tries.add(made);
         open.out++;
         witness.sent(id, made.number, server, timeoutMs);
-        double left = open.request.deadlineMs() - now;
-        double wait = timeoutMs == 0 ? left : Math.min(timeoutMs, left);
         if (open.concluded || left <= 0 || open.tries.size() > open.mostTries) {
             end(open, made, Outcome.IGNORED);
         } else if (wait <= 0) {
             end(open, made, Outcome.TIMED_OUT);
         } else {
-            made.timeout = time.after(wait, () -> giveUp(open, made, Outcome.TIMED_OUT));
+            if (!open.coming) {
+                made.timeout = time.after(wait, () -> giveUp(open, made, Outcome.TIMED_OUT));
+            }
             try {
                 made.attempt = open.carrier.send(server, wait, (outcome, answer) -> {
                     if (answer != null && !open.concluded) {
                         pass(open, outcome, answer);
+                    } else if (answer != null && answer.rest() != null) {
+                        answer.rest().abandon();
                     }
                     end(open, made, outcome);
                 });
@@ -273,7 +326,7 @@
             made.timeout.cancel();
         }
         witness.ended(open.request.id(), made.number, outcome);
-        double took = time.now() - made.sentAt;
+        double took = open.coming ? 0 : time.now() - made.sentAt;
         raise(open, now -> {
             open.out--;
             module.onFinished(now, new Finished(open.request.id(), made.number, made.server, outcome, took,
@@ -283,7 +336,9 @@
 
     private void conclude(Open open, Witness.Final end, double coolDownMs) {
         open.concluded = true;
-        open.overdue.cancel();
+        if (open.overdue != null) {
+            open.overdue.cancel();
+        }
         witness.concluded(open.request.id(), end, coolDownMs);
     }
 
--- a/sidecar/src/main/java/martenlatch/upstream/AnswerReader.java
+++ b/sidecar/src/main/java/martenlatch/upstream/AnswerReader.java
@@ -16,16 +16,22 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import martenlatch.host.Answer;
+import martenlatch.host.Rest;
+import martenlatch.host.Time;
 
 /**
  * Reads the one answer that a connection to an endpoint waits for. It is told once all that has come with it
- * is read, so that bytes that don't belong to it are never taken for the next one.
+ * is read, so that bytes that don't belong to it are never taken for the next one. A long one is told at its
+ * first bytes and passed on as it comes.
  */
 public final class AnswerReader extends ChannelInboundHandlerAdapter {
 
-    /** The largest body that the protocol allows. */
+    /** The largest body that is collected. */
     public static final int MOST_BODY = 64 * 1024;
+    /** The largest body that is passed on: what claims more is no answer of a service like these. */
+    public static final long MOST_PASSED_ON = 32 * 1024 * 1024;
     /** Answers 1xx ahead of the final one; more are no good sign. */
     private static final int MOST_INTERIM = 16;
 
@@ -34,6 +40,15 @@
         /** The answer is whole; {@code clean} if nothing came with it, so that the connection may go on. */
         void answered(Answer answer, boolean clean);
 
+        /** A long answer has begun; it has a {@link Answer#rest}. */
+        void begun(Answer answer);
+
+        /** The long answer that has begun is whole; {@code clean} as above. */
+        void ended(boolean clean);
+
+        /** Reads on from the connection, or not. */
+        void read(boolean on);
+
         /** What has come is no answer, or was not asked for: the connection is of no further use. */
         void spoilt();
     }
@@ -69,20 +84,27 @@
     private final class Gate extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-            if (expecting && whole == null) {
+            if (expecting && whole == null && !passedAll) {
                 ctx.fireChannelRead(bytes);
                 return;
             }
             ReferenceCountUtil.release(bytes);
-            if (whole != null) {
+            if (whole != null || passedAll) {
                 more = true;
             } else {
                 spoil();
             }
         }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            broken |= cause instanceof IOException;
+            ctx.fireExceptionCaught(cause);
+        }
     }
 
     private final Listener listener;
+    private final Time time;
     private final Decoder decoder = new Decoder();
     private boolean expecting;
     private boolean spoilt;
@@ -92,9 +114,16 @@
     private Answer whole;
     /** More has come with the answer than belongs to it. */
     private boolean more;
+    /** The long answer that is passed on, how much of it has come, and whether that was all. */
+    private PassedOn passing;
+    private long passed;
+    private boolean passedAll;
+    /** The connection has broken: its end is not the end of an answer. */
+    private boolean broken;
 
-    public AnswerReader(Listener listener) {
+    public AnswerReader(Listener listener, Time time) {
         this.listener = listener;
+        this.time = time;
     }
 
     public void addTo(ChannelPipeline pipeline) {
@@ -108,12 +137,21 @@
 
     private void spoil() {
         dropBody();
+        cut();
         if (!spoilt) {
             spoilt = true;
             listener.spoilt();
         }
     }
 
+    private void cut() {
+        if (passing != null) {
+            passing.end(false);
+            passing = null;
+        }
+        passedAll = false;
+    }
+
     private void dropBody() {
         if (body != null) {
             body.release();
@@ -128,7 +166,7 @@
             if (spoilt) {
                 return;
             }
-            if (whole != null) {
+            if (whole != null || passedAll) {
                 more = true;
                 return;
             }
@@ -151,6 +189,37 @@
         dropBody();
         head = response;
         body = Unpooled.buffer();
+        if (response.status().code() == 200 && HttpUtil.getContentLength(response, 0L) > MOST_BODY) {
+            passOn();
+        }
+    }
+
+    /** From now on what comes of the answer is passed on. */
+    private void passOn() {
+        passing = new PassedOn(HttpUtil.getContentLength(head, -1L), new PassedOn.Connection() {
+            @Override
+            public void read(boolean on) {
+                listener.read(on);
+            }
+
+            @Override
+            public void close() {
+                spoil();
+            }
+        }, time);
+        passed = body.readableBytes();
+        byte[] first = ByteBufUtil.getBytes(body);
+        Answer answer = answer(new byte[0], passing);
+        PassedOn begun = passing;
+        if (first.length > 0) {
+            begun.part(first);
+        }
+        listener.begun(answer);
+    }
+
+    private Answer answer(byte[] bytes, Rest rest) {
+        return new Answer(head.status().code(), "1".equals(head.headers().get("X-Not-Run")),
+            HttpUtil.isKeepAlive(head), head.headers().get(HttpHeaderNames.CONTENT_TYPE), bytes, rest);
     }
 
     /** Whether a head can be that of an answer, and says where the answer ends. */
@@ -161,28 +230,60 @@
                 && ++interim <= MOST_INTERIM;
         }
         String coding = response.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
-        // Where only the connection's end ends a body, it may be cut short: that counts as no answer.
-        return status < 600 && (coding == null
-            ? HttpUtil.isContentLengthSet(response) && HttpUtil.getContentLength(response) <= MOST_BODY
-            : HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding));
+        if (status >= 600) {
+            return false;
+        }
+        if (coding != null) {
+            return HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding);
+        }
+        // Where the connection's end ends a body, its head must say that it will.
+        return HttpUtil.isContentLengthSet(response)
+            ? HttpUtil.getContentLength(response) <= (status == 200 ? MOST_PASSED_ON : MOST_BODY)
+            : !HttpUtil.isKeepAlive(response);
     }
 
     private void take(HttpContent content) {
-        if (content.decoderResult().isFailure()
-                || body.readableBytes() + content.content().readableBytes() > MOST_BODY) {
+        boolean last = content instanceof LastHttpContent;
+        if (content.decoderResult().isFailure() || last && broken) {
             spoil();
             return;
         }
+        if (passing == null && body.readableBytes() + content.content().readableBytes() > MOST_BODY) {
+            if (head.status().code() != 200) {
+                spoil();
+                return;
+            }
+            passOn();
+            if (spoilt) {
+                return;
+            }
+        }
+        if (passing != null) {
+            pass(content.content(), last);
+            return;
+        }
         body.writeBytes(content.content());
-        if (!(content instanceof LastHttpContent)) {
+        if (last) {
+            if (head.status().code() >= 200) {
+                whole = answer(ByteBufUtil.getBytes(body), null);
+            }
+            dropBody();
+        }
+    }
+
+    private void pass(ByteBuf bytes, boolean last) {
+        passed += bytes.readableBytes();
+        if (passed > MOST_PASSED_ON) {
+            spoil();
             return;
         }
-        if (head.status().code() >= 200) {
-            whole = new Answer(head.status().code(), "1".equals(head.headers().get("X-Not-Run")),
-                HttpUtil.isKeepAlive(head), head.headers().get(HttpHeaderNames.CONTENT_TYPE),
-                ByteBufUtil.getBytes(body));
+        if (bytes.isReadable()) {
+            passing.part(ByteBufUtil.getBytes(bytes));
+        }
+        if (last && !spoilt) {
+            passedAll = true;
+            dropBody();
         }
-        dropBody();
     }
 
     @Override
@@ -195,10 +296,24 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         conclude();
         dropBody();
+        cut();
         ctx.fireChannelInactive();
     }
 
     private void conclude() {
+        if (passedAll) {
+            boolean fits = !more && !decoder.holdsBytes();
+            PassedOn over = passing;
+            passing = null;
+            passedAll = false;
+            more = false;
+            interim = 0;
+            expecting = false;
+            // First the connection, then the word: what it leads to may need the connection.
+            listener.ended(fits);
+            over.end(true);
+            return;
+        }
         if (whole == null) {
             return;
         }
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
@@ -1,6 +1,7 @@
 package martenlatch.upstream;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -9,12 +10,17 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -41,28 +47,42 @@
     /** An idle connection is closed at this part of the time after which the endpoint may close it. */
     private static final double IDLE_SHARE = 0.5;
     private static final int SWEEPS = 10;
+    /** An endpoint that is well takes some of a body within this time. */
+    private static final int STUCK_MS = 2000;
     /** Tells the endpoint how long its answer is waited for, in whole milliseconds. */
     private static final String DEADLINE = "X-Deadline-Ms";
     /** Bytes that don't belong to an answer may come a little after it: no connection is used before. */
     private static final double SETTLE_MS = 1;
 
-    /** What a client sent, beyond what the module decides by. */
-    public record Message(HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+    /**
+     * What a client sent, beyond what the module decides by.
+     *
+     * @param body the whole body where {@code upload} is null
+     * @param upload what passes the body on as it comes, or null
+     */
+    public record Message(HttpMethod method, String uri, HttpHeaders headers, byte[] body, Upload upload) {
     }
 
     /** One request on its way to an endpoint. */
     private final class Attempt implements Carrier.Attempt {
-        private final FullHttpRequest request;
+        private final HttpRequest request;
+        private final Upload upload;
         private Carrier.Ending ending;
         private Connection connection;
         /** The last byte has been handed to the network: from here on the request may have run. */
         private boolean written;
 
-        private Attempt(FullHttpRequest request, Carrier.Ending ending) {
+        private Attempt(HttpRequest request, Upload upload, Carrier.Ending ending) {
             this.request = request;
+            this.upload = upload;
             this.ending = ending;
         }
 
+        /** It will not be written any more. */
+        private void drop() {
+            ReferenceCountUtil.release(request);
+        }
+
         /** Closes the connection, which tells the endpoint. */
         @Override
         public boolean giveUp() {
@@ -108,7 +128,10 @@
         this.most = most;
         bootstrap = new Bootstrap().group(loop).channelFactory(EndpointSocket::new)
             .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
-            .option(ChannelOption.TCP_NODELAY, true);
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Buffers.WATER_MARK)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, Buffers.reads())
+            .option(ChannelOption.SO_RCVBUF, Buffers.SYSTEM);
         retune(dialMs, idleCloseMs);
         sweep();
     }
@@ -198,19 +221,36 @@
 
     /** What sends the attempts of one call, all with the same message. */
     public Carrier carrier(Message message) {
-        return (server, waitMs, ending) -> send(server, whole(message, waitMs), ending);
+        return (server, waitMs, ending) -> {
+            if (message.upload() != null && !message.upload().isFresh()) {
+                // A part of the body is gone: nothing is sent, and the endpoint is not to blame.
+                ending.ended(Outcome.IGNORED, null);
+                return () -> false;
+            }
+            return send(server, message, waitMs, ending);
+        };
     }
 
-    private static FullHttpRequest whole(Message from, double waitMs) {
+    private static HttpRequest request(Message from, double waitMs) {
         HttpHeaders headers = from.headers().copy();
         headers.set(DEADLINE, (long) Math.ceil(waitMs));
+        if (from.upload() != null) {
+            DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(),
+                headers);
+            if (from.upload().length() >= 0) {
+                HttpUtil.setContentLength(head, from.upload().length());
+            } else {
+                HttpUtil.setTransferEncodingChunked(head, true);
+            }
+            return head;
+        }
         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(),
             Unpooled.wrappedBuffer(from.body()), headers, EmptyHttpHeaders.INSTANCE);
     }
 
     /** Sends a request once, on an idle connection or a new one. It may end before this returns. */
-    private Attempt send(String id, FullHttpRequest request, Carrier.Ending ending) {
-        Attempt attempt = new Attempt(request, ending);
+    private Attempt send(String id, Message message, double waitMs, Carrier.Ending ending) {
+        Attempt attempt = new Attempt(request(message, waitMs), message.upload(), ending);
         Endpoint endpoint = endpoints.get(id);
         closeStale();
         Connection connection = endpoint == null ? null : reusable(endpoint);
@@ -247,7 +287,7 @@
 
     private void refuse(Attempt attempt, String why) {
         complaints.log("no connection", why);
-        attempt.request.release();
+        attempt.drop();
         attempt.end(Outcome.CONNECT_ERROR, null);
     }
 
@@ -272,13 +312,18 @@
         endpoints.values().forEach(EndpointPool::closeAll);
     }
 
-    private final class Connection implements AnswerReader.Listener {
+    private final class Connection implements AnswerReader.Listener, Upload.Sink {
         private final Endpoint endpoint;
         private final int generation;
-        private final AnswerReader reader = new AnswerReader(this);
+        private final AnswerReader reader = new AnswerReader(this, time);
+        /** Whose body is being written, with its attempt. */
+        private Attempt uploading;
+        private Time.Timer stuck;
         private EndpointSocket channel;
         private Attempt attempt;
         private double idleSince;
+        /** What the answer that is passed on says of its connection. */
+        private boolean keepsAlive;
 
         Connection(Endpoint endpoint) {
             this.endpoint = endpoint;
@@ -298,17 +343,14 @@
                 }
             }).connect(endpoint.address);
             channel = (EndpointSocket) connecting.channel();
-            channel.closeFuture().addListener(closed -> {
-                open--;
-                lost();
-            });
+            channel.closeFuture().addListener(closed -> open--);
             connecting.addListener(connected -> {
                 if (!connected.isSuccess()) {
-                    first.request.release();
+                    first.drop();
                     channel.close();
                     lost();
                 } else if (first.ending == null) {
-                    first.request.release();
+                    first.drop();
                     channel.close();
                 } else {
                     send(first);
@@ -325,19 +367,86 @@
         }
 
         private void send(Attempt sent) {
-            channel.writeAndFlush(sent.request).addListener(written -> {
-                sent.written = written.isSuccess();
-                if (written.isSuccess()) {
-                    reader.expect();
-                } else {
-                    channel.close();
-                }
-            });
+            if (sent.upload == null) {
+                channel.writeAndFlush(sent.request).addListener(written ->
+                    written(sent, written.isSuccess()));
+                return;
+            }
+            if (!sent.upload.isFresh()) {
+                // The client has gone in the meantime: nothing of it was sent.
+                sent.drop();
+                channel.close();
+                return;
+            }
+            uploading = sent;
+            channel.writeAndFlush(sent.request);
+            // An endpoint may turn a request away before all of it has come.
+            reader.expect();
+            sent.upload.attach(this);
+        }
+
+        private void written(Attempt sent, boolean well) {
+            sent.written = well;
+            if (well) {
+                reader.expect();
+            } else {
+                channel.close();
+            }
+        }
+
+        @Override
+        public void part(ByteBuf bytes) {
+            channel.writeAndFlush(new DefaultHttpContent(bytes));
+            mindUpload();
+        }
+
+        /**
+         * Where an endpoint takes nothing more of a body for a while, it does not read: the attempt is
+         * over.
+         */
+        private void mindUpload() {
+            if (uploading == null) {
+                return;
+            }
+            boolean full = !channel.isWritable();
+            uploading.upload.full(full);
+            if (full && stuck == null) {
+                stuck = time.after(STUCK_MS, this::close);
+            } else if (!full && stuck != null) {
+                stuck.cancel();
+                stuck = null;
+            }
+        }
+
+        @Override
+        public void end() {
+            Attempt sent = uploading;
+            stopWatching();
+            uploading = null;
+            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(written ->
+                written(sent, written.isSuccess()));
+        }
+
+        private void stopWatching() {
+            if (stuck != null) {
+                stuck.cancel();
+                stuck = null;
+            }
+        }
+
+        private void stopUpload() {
+            stopWatching();
+            if (uploading != null) {
+                Attempt stopped = uploading;
+                uploading = null;
+                stopped.upload.detach();
+            }
         }
 
         void close() {
             endpoint.idle.remove(this);
             idle.remove(this);
+            stopUpload();
             channel.close();
         }
 
@@ -345,6 +454,7 @@
         private void lost() {
             endpoint.idle.remove(this);
             idle.remove(this);
+            stopUpload();
             Attempt ended = attempt;
             attempt = null;
             if (ended != null) {
@@ -356,17 +466,55 @@
         public void answered(Answer answer, boolean clean) {
             Attempt ended = attempt;
             attempt = null;
+            boolean early = uploading != null;
             // First the connection, then the word: what it leads to may need the connection.
-            if (clean && answer.keepAlive() && channel.isActive() && generation == endpoint.generation) {
+            keep(clean && !early && answer.keepAlive());
+            if (ended != null) {
+                Outcome outcome = outcome(answer);
+                if (early && outcome == Outcome.OK) {
+                    // It says that it has run, and can't have read what it was to run: who knows.
+                    outcome = Outcome.RESET;
+                }
+                ended.end(outcome, outcome == Outcome.RESET ? null : answer);
+            }
+        }
+
+        private void keep(boolean good) {
+            if (good && channel.isActive() && generation == endpoint.generation) {
                 idleSince = time.now();
                 endpoint.idle.addLast(this);
                 idle.add(this);
             } else {
-                channel.close();
+                close();
             }
-            if (ended != null) {
-                ended.end(outcome(answer), answer);
+        }
+
+        @Override
+        public void begun(Answer answer) {
+            Attempt ended = attempt;
+            attempt = null;
+            if (ended == null || uploading != null) {
+                answer.rest().abandon();
+                close();
+                if (ended != null) {
+                    ended.end(Outcome.RESET, null);
+                }
+                return;
             }
+            keepsAlive = answer.keepAlive();
+            ended.end(Outcome.OK, answer);
+        }
+
+        @Override
+        public void ended(boolean clean) {
+            // It may have been paused when its last bytes had come already.
+            channel.config().setAutoRead(true);
+            keep(clean && keepsAlive);
+        }
+
+        @Override
+        public void read(boolean on) {
+            channel.config().setAutoRead(on);
         }
 
         @Override
@@ -375,6 +523,17 @@
         }
 
         private final class Troubles extends ChannelInboundHandlerAdapter {
+            /** Told behind the last of what has come, which may be an answer that this is the end of. */
+            @Override
+            public void channelInactive(ChannelHandlerContext ctx) {
+                lost();
+            }
+
+            @Override
+            public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+                mindUpload();
+            }
+
             @Override
             public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
                 // A reset is an everyday end of an attempt and told as such; the rest operators should see.
