The folder's locks are taken off the event loop; an undrain no longer ends a stop in progress

Cause: read again: SIGTERM and start waited for the disk on the loop that serves; POST /undrain after SIGTERM took back that each answer is the last.

--- a/sidecar/src/main/java/martenlatch/admin/Operations.java
+++ b/sidecar/src/main/java/martenlatch/admin/Operations.java
@@ -87,7 +87,10 @@
         }
     }
 
-    /** This process serves from here on. */
+    /**
+     * This process serves from here on. It waits for the disk, as {@link #leave} does: not for the event
+     * loop.
+     */
     public void serving() {
         if (folder != null) {
             try {
--- a/sidecar/src/main/java/martenlatch/admin/SharedFolder.java
+++ b/sidecar/src/main/java/martenlatch/admin/SharedFolder.java
@@ -29,7 +29,7 @@
  * dies.</li>
  * </ul>
  *
- * <p>Not for several threads at once, except that locks are held by the process as a whole.
+ * <p>What is out may be read and written by one thread while another calls {@link #serve} and {@link #leave}.
  */
 final class SharedFolder {
 
--- a/sidecar/src/main/java/martenlatch/front/http/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/front/http/Frontend.java
@@ -158,7 +158,9 @@
      */
     public void away(boolean now) {
         away = now;
-        finishing = now || hasHeir;
+        if (!stopping) {
+            finishing = now;
+        }
     }
 
     /** Takes in those that wait to be accepted, and no more. */
--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -99,7 +99,7 @@
             sidecar.warm(config, warm::countDown);
             warm.await();
             // Whoever is told that this process is ready must find that others can see it serve.
-            sidecar.loop.submit(sidecar::serve).syncUninterruptibly();
+            sidecar.operations.serving();
             sidecar.address = sidecar.bind(() -> sidecar.frontend.listen(config.listen()), config.listen());
             log.println("martenlatch: serves at " + sidecar.address);
             return sidecar;
@@ -118,11 +118,6 @@
         return (InetSocketAddress) bound.channel().localAddress();
     }
 
-    private void serve() {
-        frontend.warm();
-        operations.serving();
-    }
-
     private void build(SiteConfig told, Path shared) {
         config = told;
         mindDeadlines();
@@ -197,6 +192,7 @@
         long began = System.nanoTime();
         loop.execute(() -> new Warmup(loop, told, () -> {
             log.println("martenlatch: warm after " + (System.nanoTime() - began) / 1_000_000 + " ms");
+            frontend.warm();
             done.run();
         }).start());
     }
@@ -235,8 +231,9 @@
         long killedAfterMs = Math.min(mostDeadlineMs, MOST_WAIT_MS) + KILL_SLACK_MS;
         long endMs = killedAfterMs - DRAIN_SLACK_MS;
         long lastCallMs = Math.max(LINGER_MS, endMs - FINISH_MS);
+        boolean hasHeir = operations.leave();
         loop.execute(() -> {
-            if (operations.leave()) {
+            if (hasHeir) {
                 log.println("martenlatch: another process serves at this address");
                 frontend.handOver(endMs);
             } else {
--- a/sidecar/src/test/java/martenlatch/sidecar/OperationsTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/OperationsTest.java
@@ -86,6 +86,15 @@
                 .send(i % 2 == 0 ? "" : "POST /drain HTTP/1.1\r\nHo"));
         }
         assertEquals(200, rig.operate("GET /ready", "").status());
+        int ended = 0;
+        for (int i = 0; i < 30; i += 2) {
+            try {
+                silent.get(i).read();
+            } catch (IOException e) {
+                ended++;
+            }
+        }
+        assertTrue(ended > 0, "the oldest make room for the newest, without a word");
         Wire.Message late = silent.get(59).read();
         assertEquals(408, late.status());
         for (Wire wire : silent) {
