A sidecar alone listens at once again; two tests wait on what they mean

And OperationsTest.theOldProcessLeavesNobodyAtTheDoor let the old loop go on the log line that comes before the loop hears of the drain (failed once here).

Change: the stand-in joins its threads when it closes; the test waits until the drain waits for its end. Beside another process the listener is bound when warm, alone at once. The stall of a passed-on answer has its test (PassedOnTest).

--- a/sidecar/src/main/java/martenlatch/admin/Operations.java
+++ b/sidecar/src/main/java/martenlatch/admin/Operations.java
@@ -101,21 +101,29 @@
         }
     }
 
-    /** This process serves no more; true if another one of the same sidecar does. */
-    public boolean leave() {
-        if (folder == null) {
-            return false;
-        }
+    /** Whether another process of the same sidecar serves. */
+    public boolean othersServe() {
         try {
-            boolean others = folder.othersServe();
-            folder.leave();
-            return others;
+            return folder != null && folder.othersServe();
         } catch (IOException e) {
             complaints.say("whether another process serves can't be seen: " + e);
             return false;
         }
     }
 
+    /** This process serves no more; true if another one of the same sidecar does. */
+    public boolean leave() {
+        boolean others = othersServe();
+        if (folder != null) {
+            try {
+                folder.leave();
+            } catch (IOException e) {
+                complaints.say("others may take this process for one that serves: " + e);
+            }
+        }
+        return others;
+    }
+
     /** Ends the work on the shared folder. */
     public void close() {
         if (keeper != null) {
--- a/sidecar/src/main/java/martenlatch/front/http/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/front/http/Frontend.java
@@ -169,13 +169,16 @@
     }
 
     /**
-     * From now on each answer is the last on its connection; those that wait for none, and are not in the
-     * middle of asking, are let go.
+     * From now on each answer is the last on its connection; those that wait for none are let go. Who is in
+     * the middle of asking is not, unless this sidecar stops and no other is there: then a restart waits
+     * for it.
      */
     public void finish() {
         finishing = true;
+        boolean patient = !stopping || hasHeir;
         for (Connection connection : List.copyOf(connections)) {
-            if (connection.replies.isEmpty() && !connection.ending && !connection.guard.isInRequest()) {
+            if (connection.replies.isEmpty() && !connection.ending
+                    && !(patient && connection.guard.isInRequest())) {
                 connection.channel.close();
             }
         }
--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -80,9 +80,8 @@
     }
 
     /**
-     * Reads the configuration, warms up and listens; what goes wrong is an exception whose message says so
-     * plainly. Clients find it only when it is warm: where another process still serves at the address,
-     * they are divided between both.
+     * Reads the configuration, listens and warms up; what goes wrong is an exception whose message says so
+     * plainly. It returns once the sidecar is warm.
      *
      * @param shared the folder that outlives this process, or null
      */
@@ -95,12 +94,19 @@
                 sidecar.adminAddress = sidecar.bind(() -> sidecar.admin.listen(config.admin()),
                     config.admin());
             }
+            // Where another process serves, clients are divided between both, and must not meet a cold one.
+            // Where none does, a client that is taken in early waits a little, and one that is refused
+            // finds nobody.
+            boolean beside = sidecar.operations.othersServe();
+            if (!beside) {
+                sidecar.listen(config);
+            }
             CountDownLatch warm = new CountDownLatch(1);
             sidecar.warm(config, warm::countDown);
             warm.await();
-            // Whoever is told that this process is ready must find that others can see it serve.
-            sidecar.operations.serving();
-            sidecar.address = sidecar.bind(() -> sidecar.frontend.listen(config.listen()), config.listen());
+            if (beside) {
+                sidecar.listen(config);
+            }
             log.println("martenlatch: serves at " + sidecar.address);
             return sidecar;
         } catch (InterruptedException e) {
@@ -108,6 +114,13 @@
         }
     }
 
+    private void listen(SiteConfig told) throws IOException, InterruptedException {
+        // Whoever is told that this process is ready must find that others can see it serve.
+        operations.serving();
+        address = bind(() -> frontend.listen(told.listen()), told.listen());
+        log.println("martenlatch: listens at " + address);
+    }
+
     private InetSocketAddress bind(Supplier<ChannelFuture> listen, InetSocketAddress at)
             throws IOException, InterruptedException {
         ChannelFuture bound = listen.get().await();
--- a/sidecar/src/test/java/martenlatch/cli/MainTest.java
+++ b/sidecar/src/test/java/martenlatch/cli/MainTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** The program as a process: how it starts and how it ends. */
-@Timeout(60)
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class MainTest {
 
     private static final String CONFIG = """
@@ -67,9 +67,14 @@
             "\"listen\":\"127.0.0.1:" + port + "\",\"admin\":\"127.0.0.1:0\"");
         Process old = serve(config);
         try (BufferedReader log = old.inputReader()) {
+            // Alone it listens at once; beside another one only when it is warm.
+            awaitLine(log, "listens at");
+            awaitLine(log, "warm after");
             awaitLine(log, "serves at");
             Process heir = serve(config);
             try (BufferedReader heirLog = heir.inputReader()) {
+                awaitLine(heirLog, "warm after");
+                awaitLine(heirLog, "listens at");
                 awaitLine(heirLog, "serves at");
                 old.toHandle().destroy();
                 awaitLine(log, "another process serves at this address");
--- a/sidecar/src/test/java/martenlatch/sidecar/LongBodiesTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/LongBodiesTest.java
@@ -539,6 +539,7 @@
         private final List<Socket> sockets = new CopyOnWriteArrayList<>();
         private final Fake place;
         private final ServerSocket listener;
+        private final List<Thread> threads = new CopyOnWriteArrayList<>();
 
         Eater(LinkedBlockingQueue<byte[]> received, int pauseMs) throws IOException {
             this.received = received;
@@ -548,8 +549,13 @@
             place.close();
             listener = new ServerSocket(place.listener.getLocalPort(), 50,
                 InetAddress.getByName("127.0.0.1"));
-            Thread thread = new Thread(this::accept, "eater");
+            start(this::accept);
+        }
+
+        private void start(Runnable task) {
+            Thread thread = new Thread(task, "eater");
             thread.setDaemon(true);
+            threads.add(thread);
             thread.start();
         }
 
@@ -564,9 +570,7 @@
                     connections.incrementAndGet();
                     open.incrementAndGet();
                     sockets.add(socket);
-                    Thread thread = new Thread(() -> serve(socket), "eater");
-                    thread.setDaemon(true);
-                    thread.start();
+                    start(() -> serve(socket));
                 }
             } catch (IOException e) {
                 // The test is over.
@@ -602,12 +606,17 @@
             }
         }
 
+        /** A socket that a thread still waits on is open until that thread is off it: so all are joined. */
         @Override
-        public void close() throws IOException {
+        public void close() throws IOException, InterruptedException {
             listener.close();
             for (Socket socket : sockets) {
                 socket.close();
             }
+            for (Thread thread : threads) {
+                thread.interrupt();
+                thread.join(Rig.PATIENCE_MS);
+            }
         }
     }
 }
--- a/sidecar/src/test/java/martenlatch/sidecar/OperationsTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/OperationsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -86,15 +87,8 @@
                 .send(i % 2 == 0 ? "" : "POST /drain HTTP/1.1\r\nHo"));
         }
         assertEquals(200, rig.operate("GET /ready", "").status());
-        int ended = 0;
-        for (int i = 0; i < 30; i += 2) {
-            try {
-                silent.get(i).read();
-            } catch (IOException e) {
-                ended++;
-            }
-        }
-        assertTrue(ended > 0, "the oldest make room for the newest, without a word");
+        assertThrows(EOFException.class, silent.get(0)::read,
+            "the oldest make room for the newest, without a word");
         Wire.Message late = silent.get(59).read();
         assertEquals(408, late.status());
         for (Wire wire : silent) {
@@ -289,7 +283,8 @@
         next.start();
         Thread drain = new Thread(old.sidecar::drain);
         drain.start();
-        Rig.await("it is told to leave", () -> old.logged().contains("draining"));
+        // It says so before its loop hears of it, and waits for its end only when the loop has.
+        Rig.await("its loop is told to leave", () -> drain.getState() == Thread.State.TIMED_WAITING);
         hold.countDown();
         for (Wire wire : waiting) {
             Wire.Message answer = wire.read();
--- a/sidecar/src/test/java/martenlatch/sidecar/Rig.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/Rig.java
@@ -16,7 +16,7 @@
 /** A sidecar before fake endpoints, with a fake discovery; all on loopback. */
 final class Rig implements Closeable {
 
-    private static final long PATIENCE_MS = 20_000;
+    static final long PATIENCE_MS = 20_000;
 
     final List<Fake> endpoints = new ArrayList<>();
     final Fake discovery;
--- /dev/null
+++ b/sidecar/src/test/java/martenlatch/upstream/PassedOnTest.java
@@ -0,0 +1,125 @@
+package martenlatch.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import martenlatch.host.Rest;
+import martenlatch.host.Time;
+import org.junit.jupiter.api.Test;
+
+/** An answer that is passed on: its parts, its pauses, its stall, on a clock that the test moves. */
+class PassedOnTest {
+
+    private static final class Clock implements Time {
+        private record Task(double at, Runnable run) {
+        }
+
+        private double now;
+        private final List<Task> tasks = new ArrayList<>();
+
+        @Override
+        public double now() {
+            return now;
+        }
+
+        @Override
+        public Timer after(double ms, Runnable task) {
+            Task made = new Task(now + Math.max(0, ms), task);
+            tasks.add(made);
+            return () -> tasks.remove(made);
+        }
+
+        void pass(double ms) {
+            double until = now + ms;
+            int ran = 0;
+            for (Task next = due(until); next != null; next = due(until)) {
+                assertTrue(ran++ < 1000, "timers without end");
+                tasks.remove(next);
+                now = Math.max(now, next.at());
+                next.run().run();
+            }
+            now = until;
+        }
+
+        private Task due(double until) {
+            return tasks.stream().filter(task -> task.at() <= until).findFirst().orElse(null);
+        }
+    }
+
+    private final Clock clock = new Clock();
+    private boolean reading = true;
+    private boolean closed;
+    private final StringBuilder got = new StringBuilder();
+    private final PassedOn answer = new PassedOn(-1, new PassedOn.Connection() {
+        @Override
+        public void read(boolean on) {
+            reading = on;
+        }
+
+        @Override
+        public void close() {
+            closed = true;
+        }
+    }, clock);
+    private final Rest.Taker taker = new Rest.Taker() {
+        @Override
+        public void part(byte[] bytes) {
+            got.append(new String(bytes));
+        }
+
+        @Override
+        public void end(boolean whole) {
+            got.append(whole ? "." : "!");
+        }
+    };
+
+    private void part(String text) {
+        answer.part(text.getBytes());
+    }
+
+    @Test
+    void nothingIsReadUntilSomebodyTakesIt() {
+        part("a");
+        assertFalse(reading);
+        answer.to(taker);
+        assertTrue(reading);
+        part("b");
+        answer.pause(true);
+        assertFalse(reading);
+        answer.end(true);
+        answer.end(false);
+        assertEquals("ab.", got.toString(), "one end");
+        clock.pass(60_000);
+        assertFalse(closed);
+        assertEquals(0, clock.tasks.size(), "no timer is left");
+    }
+
+    /** Guards against a stream whose one side is gone without a word: nobody would ever end it. */
+    @Test
+    void whatStallsIsCutAndWhatMovesIsNot() {
+        answer.to(taker);
+        for (int i = 0; i < 10; i++) {
+            clock.pass(PassedOn.STALL_MS - 1);
+            part("x");
+        }
+        assertFalse(closed, "slow is not stalled");
+        clock.pass(PassedOn.STALL_MS - 1);
+        assertFalse(closed);
+        clock.pass(2);
+        assertTrue(closed);
+    }
+
+    @Test
+    void whoGivesItUpHearsNoEnd() {
+        answer.to(taker);
+        part("a");
+        answer.abandon();
+        assertTrue(closed);
+        answer.end(false);
+        assertEquals("a", got.toString());
+        assertEquals(0, clock.tasks.size());
+    }
+}
