--- a/sidecar/src/main/java/martenlatch/front/CallReader.java
+++ b/sidecar/src/main/java/martenlatch/front/CallReader.java
@@ -94,9 +94,17 @@
 
     /** The milliseconds, or -1 for what is no whole number of a sane size. */
     private static long deadline(String text) {
-        if (text.isEmpty() || text.length() > 9 || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
+        if (text.isEmpty() || text.length() > 9) {
             return -1;
         }
-        return Long.parseLong(text);
+        long value = 0;
+        for (int i = 0; i < text.length(); i++) {
+            int digit = text.charAt(i) - '0';
+            if (digit < 0 || digit > 9) {
+                return -1;
+            }
+            value = value * 10 + digit;
+        }
+        return value;
     }
 }
--- a/sidecar/src/main/java/martenlatch/front/http/ClientGuard.java
+++ b/sidecar/src/main/java/martenlatch/front/http/ClientGuard.java
@@ -36,7 +36,12 @@
     private static final long MOST_BODY_BYTES = RequestReader.MOST_BODY;
 
     private final SocketChannel channel;
+    /** The clock that stands, and when it is due; what is awaited, until when, and how long that was. */
     private Future<?> limit;
+    private long limitNanos;
+    private boolean awaited;
+    private long dueNanos;
+    private int awaitedMs;
     private boolean begun;
     private boolean inBody;
     private boolean waiting;
@@ -56,17 +61,44 @@
         ctx.fireChannelActive();
     }
 
+    /**
+     * A clock that stands already and is due no later is left to find out: a connection in use would else
+     * set and cancel one with every request.
+     */
     private void await(ChannelHandlerContext ctx, int ms) {
-        stopClock();
+        awaited = true;
+        awaitedMs = ms;
+        dueNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+        if (limit != null && limitNanos - dueNanos > 0) {
+            limit.cancel(false);
+            limit = null;
+        }
+        if (limit == null) {
+            schedule(ctx);
+        }
+    }
+
+    private void schedule(ChannelHandlerContext ctx) {
+        limitNanos = dueNanos;
         limit = channel.eventLoop().schedule(() -> {
-            if (begun && inBody && !deaf && keepsPace(ms)) {
-                await(ctx, TICK_MS);
-            } else if (begun && !deaf) {
-                ctx.fireUserEventTriggered(LATE);
-            } else {
-                channel.close();
+            limit = null;
+            if (awaited && dueNanos - System.nanoTime() > 0) {
+                schedule(ctx);
+            } else if (awaited) {
+                due(ctx);
             }
-        }, ms, TimeUnit.MILLISECONDS);
+        }, dueNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
+    }
+
+    private void due(ChannelHandlerContext ctx) {
+        awaited = false;
+        if (begun && inBody && !deaf && keepsPace(awaitedMs)) {
+            await(ctx, TICK_MS);
+        } else if (begun && !deaf) {
+            ctx.fireUserEventTriggered(LATE);
+        } else {
+            channel.close();
+        }
     }
 
     /** Whether a body has come fast enough; time in which we did not read is not the client's. */
@@ -77,12 +109,6 @@
         return behind <= MOST_BEHIND;
     }
 
-    private void stopClock() {
-        if (limit != null) {
-            limit.cancel(false);
-            limit = null;
-        }
-    }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) {
@@ -122,7 +148,7 @@
         begun = false;
         inBody = false;
         waiting = false;
-        stopClock();
+        awaited = false;
     }
 
     /** All that was asked is answered. */
@@ -160,7 +186,11 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        stopClock();
+        awaited = false;
+        if (limit != null) {
+            limit.cancel(false);
+            limit = null;
+        }
         ctx.fireChannelInactive();
     }
 }
--- a/sidecar/src/main/java/martenlatch/front/http/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/front/http/Frontend.java
@@ -14,7 +14,9 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -31,9 +33,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
 import martenlatch.front.CallReader;
 import martenlatch.host.Answer;
@@ -373,9 +375,12 @@
             }
         }
 
+        /** What goes on to endpoints; the request's own headers, as nobody needs them here any more. */
         private EndpointPool.Message message(HttpRequest request, byte[] body, Upload upload) {
-            HttpHeaders headers = request.headers().copy();
-            HOP_BY_HOP.forEach(headers::remove);
+            HttpHeaders headers = request.headers();
+            for (CharSequence name : HOP_BY_HOP) {
+                headers.remove(name);
+            }
             if (body.length > 0) {
                 headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             }
@@ -475,7 +480,12 @@
 
         @Override
         public boolean repeated(String name) {
-            return request.headers().getAll(name).size() > 1;
+            Iterator<String> values = request.headers().valueStringIterator(name);
+            if (!values.hasNext()) {
+                return false;
+            }
+            values.next();
+            return values.hasNext();
         }
     }
 
@@ -563,12 +573,17 @@
         public void refused(double coolDownMs) {
             FullHttpResponse refusal = response(HttpResponseStatus.SERVICE_UNAVAILABLE, text("refused"));
             if (coolDownMs > 0) {
-                refusal.headers().set(HttpHeaderNames.RETRY_AFTER,
-                    String.format(Locale.ROOT, "%.3f", coolDownMs / 1000));
+                refusal.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(coolDownMs));
             }
             answer(refusal);
         }
 
+        /** Whole and thousandths; a formatter costs as much as all the rest of a refusal. */
+        private static String seconds(double ms) {
+            long whole = Math.round(ms);
+            return whole / 1000 + "." + Long.toString(1000 + whole % 1000).substring(1);
+        }
+
         @Override
         public void failed() {
             answer(response(HttpResponseStatus.BAD_GATEWAY, text("failed")));
@@ -604,7 +619,8 @@
         }
 
         private static FullHttpResponse response(HttpResponseStatus status, ByteBuf body) {
-            FullHttpResponse made = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+            FullHttpResponse made = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body,
+                DefaultHttpHeadersFactory.headersFactory().newHeaders(), EmptyHttpHeaders.INSTANCE);
             made.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             return made;
         }
--- a/sidecar/src/main/java/martenlatch/front/http/RequestReader.java
+++ b/sidecar/src/main/java/martenlatch/front/http/RequestReader.java
@@ -50,6 +50,8 @@
     private final BodyRoom room;
     private final Upload.Source source;
     private HttpRequest head;
+    /** Read at once: a head that is passed on loses what concerns this connection alone. */
+    private boolean keepAlive;
     private ByteBuf body;
     /** Where the body goes that is passed on, and how much of it has come. */
     private Upload upload;
@@ -102,6 +104,7 @@
             refuse(ctx, new Refusal(HttpResponseStatus.EXPECTATION_FAILED, "unknown expectation"));
         } else {
             head = begun;
+            keepAlive = HttpUtil.isKeepAlive(begun);
             guard.headTaken();
             owesContinue = expected != null;
             passed = 0;
@@ -155,7 +158,7 @@
 
     private void end(ChannelHandlerContext ctx) {
         // No more is taken after a request that says it is the last.
-        over = !HttpUtil.isKeepAlive(head);
+        over = !keepAlive;
         HttpRequest request = head;
         head = null;
         if (upload != null) {
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
@@ -57,6 +57,7 @@
     /**
      * What a client sent, beyond what the module decides by.
      *
+     * @param headers what goes on; this pool's own from here on
      * @param body the whole body where {@code upload} is null
      * @param upload what passes the body on as it comes, or null
      */
@@ -221,18 +222,33 @@
 
     /** What sends the attempts of one call, all with the same message. */
     public Carrier carrier(Message message) {
-        return (server, waitMs, ending) -> {
+        return new MessageCarrier(message);
+    }
+
+    private final class MessageCarrier implements Carrier {
+        private final Message message;
+        private boolean sent;
+
+        MessageCarrier(Message message) {
+            this.message = message;
+        }
+
+        @Override
+        public Carrier.Attempt send(String server, double waitMs, Ending ending) {
             if (message.upload() != null && !message.upload().isFresh()) {
                 // A part of the body is gone: nothing is sent, and the endpoint is not to blame.
                 ending.ended(Outcome.IGNORED, null);
                 return () -> false;
             }
-            return send(server, message, waitMs, ending);
-        };
+            // Hardly any request needs a second attempt: only those copy the headers.
+            HttpHeaders headers = sent ? message.headers().copy() : message.headers();
+            sent = true;
+            return EndpointPool.this.send(server, new EndpointPool.Attempt(request(message, headers, waitMs),
+                message.upload(), ending));
+        }
     }
 
-    private static HttpRequest request(Message from, double waitMs) {
-        HttpHeaders headers = from.headers().copy();
+    private static HttpRequest request(Message from, HttpHeaders headers, double waitMs) {
         headers.set(DEADLINE, (long) Math.ceil(waitMs));
         if (from.upload() != null) {
             DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(),
@@ -249,8 +265,7 @@
     }
 
     /** Sends a request once, on an idle connection or a new one. It may end before this returns. */
-    private Attempt send(String id, Message message, double waitMs, Carrier.Ending ending) {
-        Attempt attempt = new Attempt(request(message, waitMs), message.upload(), ending);
+    private Attempt send(String id, Attempt attempt) {
         Endpoint endpoint = endpoints.get(id);
         closeStale();
         Connection connection = endpoint == null ? null : reusable(endpoint);
--- a/sidecar/src/test/java/martenlatch/sidecar/ClientLimitsTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/ClientLimitsTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -241,4 +242,26 @@
         int told = Integer.parseInt(rig.endpoints.get(0).requests.get(0).headers().get("x-deadline-ms"));
         assertTrue(told <= 9000, "what the endpoint is told: " + told);
     }
+
+    /**
+     * Guards against a clock that stands from before: neither a request that is waited for nor one that
+     * comes in good time is cut off by it.
+     */
+    @Test
+    void aConnectionInUseOutlivesTheClocksOfItsEarlierRequests() throws Exception {
+        AtomicInteger holdMs = new AtomicInteger();
+        rig = new Rig(new Fake((wire, request) -> {
+            Thread.sleep(holdMs.get());
+            Fake.answer(wire, 200, "", "mine");
+        })).start();
+        try (Wire client = rig.client()) {
+            assertEquals(200, client.send(rig.request("read", DEADLINE_MS)).read().status());
+            Thread.sleep(1500);
+            holdMs.set(2000);
+            assertEquals(200, client.send(rig.request("read", DEADLINE_MS)).read().status());
+            Thread.sleep(1800);
+            holdMs.set(0);
+            assertEquals(200, client.send(rig.request("read", DEADLINE_MS)).read().status());
+        }
+    }
 }
--- a/sidecar/src/test/java/martenlatch/sidecar/LongBodiesTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/LongBodiesTest.java
@@ -302,6 +302,27 @@
         }
     }
 
+    /** Guards against a head that loses what it says of its own connection while its body is passed on. */
+    @Test
+    void aLongBodyOnAConnectionThatEndsIsTheLastRequest() throws Exception {
+        byte[] sent = bytes(9, 3 * MB);
+        LinkedBlockingQueue<byte[]> received = new LinkedBlockingQueue<>();
+        try (Eater eater = new Eater(received, 0)) {
+            rig = new Rig(eater.fake());
+            rig.start();
+            try (Wire client = rig.client()) {
+                write(client, post("Connection: close\r\nContent-Length: " + sent.length + "\r\n"), sent);
+                client.send(rig.request("read", DEADLINE_MS));
+                Wire.Message answer = client.read();
+                assertEquals("eaten", answer.body());
+                assertEquals("close", answer.headers().get("connection"));
+                client.awaitEnd();
+            }
+            assertArrayEquals(sent, received.take());
+            assertEquals(0, received.size(), "what comes behind the last request is none");
+        }
+    }
+
     /** A fast client before a slow endpoint: it is held back, and what it sends is not held here. */
     @Test
     void aFastClientWaitsForASlowEndpoint() throws Exception {
--- a/sidecar/src/test/java/martenlatch/sidecar/SidecarTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SidecarTest.java
@@ -8,7 +8,10 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.AfterEach;
@@ -91,6 +94,37 @@
 
     // ---- what may have run, and what never did ----
 
+    /** Guards against attempts that share what they send: each has all of it, and its own time. */
+    @Test
+    void eachAttemptCarriesTheSameRequestAndItsOwnTime() throws Exception {
+        Fake.Script turnsAway = (wire, request) -> {
+            Thread.sleep(20);
+            Fake.answer(wire, 503, "X-Not-Run: 1\r\n", "full");
+        };
+        start(new Fake(turnsAway), new Fake(turnsAway), new Fake(turnsAway));
+        try (Wire client = rig.client()) {
+            String request = rig.request("order", DEADLINE_MS).replace("Host: app.svc",
+                "Host: app.svc\r\nCookie: a=1\r\nTE: gzip\r\nX-Twice: one\r\nX-Twice: two");
+            assertEquals(503, client.send(request).read().status());
+        }
+        assertEquals(3, rig.attempts());
+        List<Map<String, String>> heads = new ArrayList<>();
+        List<Integer> times = new ArrayList<>();
+        for (Fake endpoint : rig.endpoints) {
+            Wire.Message attempt = endpoint.requests.get(0);
+            assertEquals("hello", attempt.body());
+            Map<String, String> head = new HashMap<>(attempt.headers());
+            times.add(Integer.parseInt(head.remove("x-deadline-ms")));
+            heads.add(head);
+        }
+        assertEquals(heads.get(0), heads.get(1));
+        assertEquals(heads.get(0), heads.get(2));
+        assertEquals("a=1", heads.get(0).get("cookie"));
+        assertFalse(heads.get(0).containsKey("te"), "that concerned the client's connection");
+        Collections.sort(times);
+        assertTrue(times.get(0) <= times.get(1) - 15 && times.get(1) <= times.get(2) - 15, times.toString());
+    }
+
     /** Guards against effects that happen twice: an unsafe request that may have run is not sent again. */
     @ParameterizedTest
     @ValueSource(strings = {"reset", "half", "unframed", "garbage", "503", "504", "500", "201"})
