--- a/tools/src/test/java/martenlatch/load/LoadRunTest.java
+++ b/tools/src/test/java/martenlatch/load/LoadRunTest.java
@@ -121,27 +121,11 @@
     void aStarvedGeneratorSaysSo() throws Exception {
         Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 0")));
         List<InetSocketAddress> targets = List.of(endpoint.address());
-        int[] sends = {0};
         LoadReport report = new LoadRun(new LoadPlan(targets, 1, 1000, 0),
             Arrivals.drawn(new Schedule(List.of(Shape.parse("constant 500 2")), false, 1),
                 List.of(kind(Kind.Effect.REPEATABLE, 5_000, 0)), 1),
-            (loop, most) -> {
-                Driver driver = new HttpDriver(loop, targets, most);
-                return new Driver() {
-                    @Override
-                    public Call send(Wish wish, String id, boolean retry, long leftNanos, Ending ending) {
-                        if (++sends[0] == 600) {
-                            sleep();
-                        }
-                        return driver.send(wish, id, retry, leftNanos, ending);
-                    }
-
-                    @Override
-                    public void close() {
-                        driver.close();
-                    }
-                };
-            }, second -> { }).run();
+            (loop, most) -> starved(new HttpDriver(loop, targets, most), 600),
+            second -> { }).run();
         assertEquals(1000, report.all().count(End.SERVED));
         assertTrue(report.judgement().voidFrom() >= 0 && report.judgement().voidFrom() <= 1,
             report.verdict());
@@ -158,39 +142,39 @@
     void aGeneratorThatWasStarvedCatchesUp() throws Exception {
         Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 0")));
         List<InetSocketAddress> targets = List.of(endpoint.address());
-        int[] sends = {0};
         LoadReport report = new LoadRun(new LoadPlan(targets, 1, 20, 0),
             Arrivals.drawn(new Schedule(List.of(Shape.parse("constant 500 2")), false, 1),
                 List.of(kind(Kind.Effect.UNSAFE, 300, 0)), 1),
-            (loop, most) -> {
-                Driver driver = new HttpDriver(loop, targets, most);
-                return new Driver() {
-                    @Override
-                    public Call send(Wish wish, String id, boolean retry, long leftNanos, Ending ending) {
-                        if (++sends[0] == 300) {
-                            sleep();
-                        }
-                        return driver.send(wish, id, retry, leftNanos, ending);
-                    }
-
-                    @Override
-                    public void close() {
-                        driver.close();
-                    }
-                };
-            }, second -> { }).run();
+            (loop, most) -> starved(new HttpDriver(loop, targets, most), 300),
+            second -> { }).run();
         assertEquals(1000, report.all().wishes());
         assertEquals(0, report.all().count(End.NOT_SENT), printed(report));
         assertTrue(report.all().count(End.SERVED) >= 990, printed(report));
         assertTrue(report.judgement().voidFrom() >= 0, "whatever is served late is no figure of the service");
     }
 
-    private static void sleep() {
-        try {
-            Thread.sleep(400);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+    /** A driver that blocks the generator's loop at one of its sends. */
+    private static Driver starved(Driver driver, int atSend) {
+        return new Driver() {
+            private int sends;
+
+            @Override
+            public Call send(Wish wish, String id, boolean retry, long leftNanos, Ending ending) {
+                if (++sends == atSend) {
+                    try {
+                        Thread.sleep(400);
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                }
+                return driver.send(wish, id, retry, leftNanos, ending);
+            }
+
+            @Override
+            public void close() {
+                driver.close();
+            }
+        };
     }
 
     @ParameterizedTest
