--- a/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
@@ -117,6 +117,8 @@
     private double idleMs;
     private final int most;
     private final Map<String, Endpoint> endpoints = new HashMap<>();
+    /** Who has each address: a list of ten thousand must not be gone through for every entry of it. */
+    private final Map<InetSocketAddress, Endpoint> atAddress = new HashMap<>();
     /** All idle connections, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
     private Time.Timer sweeping;
@@ -158,20 +160,21 @@
             list.entries().forEach(entry -> named.add(entry.server().id()));
             for (String id : List.copyOf(endpoints.keySet())) {
                 if (!named.contains(id)) {
-                    retire(endpoints.remove(id));
+                    remove(id);
                 }
             }
         }
         for (ServerList.Entry entry : list.entries()) {
             String id = entry.server().id();
             if (entry.server().state() == State.GONE) {
-                retire(endpoints.remove(id));
+                remove(id);
                 continue;
             }
             Endpoint endpoint = endpoints.computeIfAbsent(id, k -> new Endpoint());
             if (!entry.address().equals(endpoint.address)
                     || entry.server().startedMs() != endpoint.startedMs) {
                 retire(endpoint);
+                leaveAddress(endpoint);
             }
             endpoint.address = entry.address();
             endpoint.startedMs = entry.server().startedMs();
@@ -179,18 +182,32 @@
         }
     }
 
+    private void remove(String id) {
+        Endpoint removed = endpoints.remove(id);
+        if (removed != null) {
+            retire(removed);
+            leaveAddress(removed);
+        }
+    }
+
+    private void leaveAddress(Endpoint endpoint) {
+        if (endpoint.address != null) {
+            atAddress.remove(endpoint.address, endpoint);
+        }
+    }
+
     /** At one address there is one process: what was there before it is not there any more. */
     private void settleAddress(Endpoint told) {
-        for (Endpoint other : endpoints.values()) {
-            if (other != told && told.address.equals(other.address)) {
-                Endpoint former = told.startedMs < other.startedMs ? told : other;
-                retire(former);
-                former.address = null;
-                if (former == told) {
-                    return;
-                }
-            }
+        Endpoint other = atAddress.putIfAbsent(told.address, told);
+        if (other == null || other == told) {
+            return;
+        }
+        Endpoint former = told.startedMs < other.startedMs ? told : other;
+        if (former == other) {
+            atAddress.put(told.address, told);
         }
+        retire(former);
+        former.address = null;
     }
 
     /** How many endpoints are known. */
@@ -198,11 +215,20 @@
         return endpoints.size();
     }
 
+    /** Whether an endpoint is known and has an address that nobody has taken. */
+    boolean hasAddress(String id) {
+        Endpoint endpoint = endpoints.get(id);
+        return endpoint != null && endpoint.address != null;
+    }
+
+    /** How many addresses are kept. */
+    int addresses() {
+        return atAddress.size();
+    }
+
     private static void retire(Endpoint endpoint) {
-        if (endpoint != null) {
-            endpoint.generation++;
-            closeAll(endpoint);
-        }
+        endpoint.generation++;
+        closeAll(endpoint);
     }
 
     /** Closes the idle connections to an endpoint. */
