Load: an answer that comes after its request was given up has its test

Change: a service of 300 ms before clients of 100 ms, each wish ends once; the set-up of both starved runs stands once. Seen to fail with the guards out: 300 ends of 150 wishes.

--- a/tools/src/test/java/martenlatch/load/LoadRunTest.java
+++ b/tools/src/test/java/martenlatch/load/LoadRunTest.java
@@ -119,13 +119,7 @@
     /** Its loop is blocked on purpose, the service answers at once: the fault is the generator's. */
     @Test
     void aStarvedGeneratorSaysSo() throws Exception {
-        Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 0")));
-        List<InetSocketAddress> targets = List.of(endpoint.address());
-        LoadReport report = new LoadRun(new LoadPlan(targets, 1, 1000, 0),
-            Arrivals.drawn(new Schedule(List.of(Shape.parse("constant 500 2")), false, 1),
-                List.of(kind(Kind.Effect.REPEATABLE, 5_000, 0)), 1),
-            (loop, most) -> starved(new HttpDriver(loop, targets, most), 600),
-            second -> { }).run();
+        LoadReport report = starvedRun(kind(Kind.Effect.REPEATABLE, 5_000, 0), 1000, 600);
         assertEquals(1000, report.all().count(End.SERVED));
         assertTrue(report.judgement().voidFrom() >= 0 && report.judgement().voidFrom() <= 1,
             report.verdict());
@@ -140,19 +134,22 @@
      */
     @Test
     void aGeneratorThatWasStarvedCatchesUp() throws Exception {
-        Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 0")));
-        List<InetSocketAddress> targets = List.of(endpoint.address());
-        LoadReport report = new LoadRun(new LoadPlan(targets, 1, 20, 0),
-            Arrivals.drawn(new Schedule(List.of(Shape.parse("constant 500 2")), false, 1),
-                List.of(kind(Kind.Effect.UNSAFE, 300, 0)), 1),
-            (loop, most) -> starved(new HttpDriver(loop, targets, most), 300),
-            second -> { }).run();
+        LoadReport report = starvedRun(kind(Kind.Effect.UNSAFE, 300, 0), 20, 300);
         assertEquals(1000, report.all().wishes());
         assertEquals(0, report.all().count(End.NOT_SENT), printed(report));
         assertTrue(report.all().count(End.SERVED) >= 990, printed(report));
         assertTrue(report.judgement().voidFrom() >= 0, "whatever is served late is no figure of the service");
     }
 
+    /** 1,000 wishes in two seconds to a service that answers at once, and a block at one of the sends. */
+    private LoadReport starvedRun(Kind kind, int connections, int atSend) throws Exception {
+        List<InetSocketAddress> targets = List.of(
+            endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 0"))).address());
+        return new LoadRun(new LoadPlan(targets, 1, connections, 0),
+            Arrivals.drawn(new Schedule(List.of(Shape.parse("constant 500 2")), false, 1), List.of(kind), 1),
+            (loop, most) -> starved(new HttpDriver(loop, targets, most), atSend), second -> { }).run();
+    }
+
     /** A driver that blocks the generator's loop at one of its sends. */
     private static Driver starved(Driver driver, int atSend) {
         return new Driver() {
@@ -206,6 +203,20 @@
         }
     }
 
+    /** Guards against an answer that comes when its request has been given up, and would be a second end. */
+    @Test
+    void anAnswerThatComesTooLateIsNoSecondEnd() throws Exception {
+        Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 300")));
+        LoadReport report = run(endpoint.address(), kind(Kind.Effect.UNSAFE, 100, 0), "constant 100 1.5", 400,
+            second -> { }).run();
+        Figures all = report.all();
+        assertEquals(150, all.wishes());
+        assertEquals(150, all.count(End.TIMED_OUT) + all.count(End.NOT_SENT), printed(report));
+        assertEquals(150, all.ended());
+        assertEquals(List.of(), report.differences());
+        assertTrue(world.ledger().receivedCount() > 0, "they were on their way");
+    }
+
     @Test
     void aServiceThatIsNotThereFailsEachAtOnce() throws Exception {
         Endpoint endpoint = endpoint(WorldSettings.plain(1, ServiceTime.parse("constant 0")));
