A restart answers what was in hand at SIGTERM, however long its client would wait

Ruled out: requests taken after it (their deadlines were cut), closes between requests, the accept queue. At fault: Frontend.drain cut the deadlines of later requests only; Exchange kept those in hand. Change: Exchange.endBy.

--- a/sidecar/src/main/java/martenlatch/cli/Main.java
+++ b/sidecar/src/main/java/martenlatch/cli/Main.java
@@ -7,7 +7,9 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +18,7 @@
 import martenlatch.benchlink.WireException;
 import martenlatch.sidecar.Sidecar;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** The command line: {@code serve} is one real sidecar, {@code benchlink} the simulator's adapter. */
 public final class Main {
@@ -23,6 +26,9 @@
     /** A start that takes longer is not waited for when the program is stopped. */
     private static final int START_MS = 5000;
 
+    private static final String USAGE = "usage: java -jar martenlatch.jar serve|benchlink";
+    private static final Set<String> HELP = Set.of("--help", "-h", "help");
+
     private Main() {
     }
 
@@ -45,8 +51,12 @@
     /** The adapter on streams of the caller's; returns the exit status. */
     public static int run(String[] args, InputStream in, OutputStream out, PrintStream errors)
             throws IOException {
+        if (args.length == 1 && HELP.contains(args[0])) {
+            out.write((USAGE + "\n").getBytes(StandardCharsets.UTF_8));
+            return 0;
+        }
         if (args.length != 1 || !args[0].equals("benchlink")) {
-            errors.println("usage: java -jar martenlatch.jar serve|benchlink");
+            errors.println(USAGE);
             return 2;
         }
         try {
@@ -62,7 +72,13 @@
     static int serve(String configFile, String shared, PrintStream errors) {
         // Before all else: until there is a handler, SIGHUP ends the program.
         CompletableFuture<Sidecar> running = new CompletableFuture<>();
-        Signal.handle(new Signal("HUP"), signal -> running.thenAccept(Sidecar::reload));
+        SignalHandler before = Signal.handle(new Signal("HUP"),
+            signal -> running.thenAccept(Sidecar::reload));
+        if (before == SignalHandler.SIG_IGN) {
+            // The JVM leaves a signal alone that was ignored when it started.
+            errors.println("martenlatch: whoever started this process has it ignore SIGHUP (nohup does): "
+                + "a changed configuration holds from the next start on");
+        }
         // Clients may come before start returns: a stop by SIGTERM waits for it, and drains.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(running), "drain"));
         try {
--- a/sidecar/src/main/java/martenlatch/front/http/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/front/http/Frontend.java
@@ -136,10 +136,13 @@
         return warm && !away && (stopping ? hasHeir : listens) && exchange.knowsEndpoints();
     }
 
-    /** Goes on, but takes no request that might not be answered by then, and is not ready for more. */
+    /**
+     * Goes on, but each request, those in hand among them, has its answer by then; it is not ready for more.
+     */
     public void drain(double leftMs) {
         stopping = true;
         endsAt = time.now() + leftMs;
+        exchange.endBy(endsAt);
     }
 
     /**
--- a/sidecar/src/main/java/martenlatch/host/Exchange.java
+++ b/sidecar/src/main/java/martenlatch/host/Exchange.java
@@ -181,6 +181,27 @@
         }
     }
 
+    /**
+     * This process ends: every request in hand has its final answer by {@code latest}, however long its client
+     * would wait. What is still coming has its deadline cut by {@link #hasCome}.
+     */
+    public void endBy(double latest) {
+        for (Open open : table.values()) {
+            if (open.concluded || open.coming || open.deadlineMs <= latest) {
+                continue;
+            }
+            open.deadlineMs = latest;
+            open.overdue.cancel();
+            watch(open);
+            for (Try made : open.tries) {
+                if (!made.ended && made.sentAt + made.waitMs > latest) {
+                    made.timeout.cancel();
+                    made.timeout = time.after(latest - time.now(), () -> giveUp(open, made, Outcome.TIMED_OUT));
+                }
+            }
+        }
+    }
+
     /** The client's connection has ended before its answer. */
     public void clientGone(String id) {
         Open open = table.get(id);
--- a/sidecar/src/main/java/martenlatch/membership/DiscoveryClient.java
+++ b/sidecar/src/main/java/martenlatch/membership/DiscoveryClient.java
@@ -79,11 +79,19 @@
         version = OptionalLong.of(known);
     }
 
+    /** As below, at once. */
+    public void move(InetSocketAddress to) {
+        move(to, 0);
+    }
+
     /**
-     * Goes on at another address, at once and without a word of failure. Versions are counted anew there,
-     * so it is asked for the whole list.
+     * Goes on at another address, without a word of failure. Versions are counted anew there, so it is asked
+     * for the whole list.
+     *
+     * @param afterMs when: where a fleet is moved together, and each asks for the whole list at once, most of
+     *     them are refused
      */
-    public void move(InetSocketAddress to) {
+    public void move(InetSocketAddress to, double afterMs) {
         if (to.equals(address)) {
             return;
         }
@@ -91,7 +99,11 @@
         version = OptionalLong.empty();
         callEnded();
         dropConnection();
-        watch();
+        if (afterMs <= 0) {
+            watch();
+        } else {
+            loop.schedule(this::watch, (long) (afterMs * 1000), TimeUnit.MICROSECONDS);
+        }
     }
 
     /** Starts a watch; one that is on goes on, and its next answer serves for both. */
--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -26,6 +27,7 @@
 import martenlatch.membership.DiscoveryClient;
 import martenlatch.net.LoopTime;
 import martenlatch.policy.Contract.RequestClass;
+import martenlatch.policy.Contract.Settings;
 import martenlatch.site.SiteConfig;
 import martenlatch.upstream.EndpointPool;
 
@@ -70,6 +72,7 @@
     private InetSocketAddress adminAddress;
     private long mostDeadlineMs;
     private Exchange exchange;
+    private SplittableRandom random;
 
     private Sidecar(Path file, PrintStream log) {
         this.file = file;
@@ -133,6 +136,7 @@
 
     private void build(SiteConfig told, Path shared) {
         config = told;
+        random = new SplittableRandom(told.seed());
         mindDeadlines();
         time = new LoopTime(loop);
         Complaints complaints = new Complaints(time, log);
@@ -226,13 +230,22 @@
                 endpoints.retune(next.settings().limits().connectTimeoutMs(), next.idleCloseMs());
                 exchange.retune(next.settings());
                 frontend.retune(next.settings());
-                discovery.move(next.discovery());
+                discovery.move(next.discovery(), random.nextDouble() * spreadMs(next.settings()));
             } catch (IOException | RuntimeException e) {
                 log.println("martenlatch: the configuration stays as it was: " + e.getMessage());
             }
         });
     }
 
+    /**
+     * Sidecars that are moved together must not ask together: each asks at a random time within this, as at a
+     * start, and a sidecar alone at once. Nothing is spread where lists are pushed.
+     */
+    private static double spreadMs(Settings settings) {
+        return settings.asksForList()
+            ? settings.rules().askWithinMs() / 2 * (1 - 1.0 / settings.balancers()) : 0;
+    }
+
     /**
      * Answers all that is in hand and still comes in, then returns; the sidecar has nothing left to do. While
      * there is time clients go on using the connections that they have: where the others that could serve
--- a/sidecar/src/test/java/martenlatch/cli/MainTest.java
+++ b/sidecar/src/test/java/martenlatch/cli/MainTest.java
@@ -5,7 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -120,6 +123,37 @@
         assertNotEquals(null, line, "it goes on to say: " + part);
     }
 
+    /**
+     * Guards against a reload that never comes, and nobody knows why: nohup has the JVM ignore the signal.
+     */
+    @Test
+    void aStartThatIgnoresSighupSaysSo() throws Exception {
+        Path file = Files.writeString(folder.resolve("config.json"), CONFIG);
+        ProcessBuilder builder = new ProcessBuilder("nohup", Path.of(System.getProperty("java.home"), "bin",
+            "java")
+            .toString(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+            "martenlatch.cli.Main", "serve");
+        builder.environment().put("GW_CONFIG", file.toString());
+        Process process = builder.redirectErrorStream(true).start();
+        try (BufferedReader log = process.inputReader()) {
+            awaitLine(log, "ignore SIGHUP");
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    /** Guards against help that counts as a failure. */
+    @Test
+    void helpIsNoError() throws Exception {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ByteArrayOutputStream errors = new ByteArrayOutputStream();
+        assertEquals(0, Main.run(new String[] {"--help"}, InputStream.nullInputStream(), out,
+            new PrintStream(errors)));
+        assertTrue(out.toString().startsWith("usage:"), out.toString());
+        assertEquals(2, Main.run(new String[] {"--halp"}, InputStream.nullInputStream(), out,
+            new PrintStream(errors)));
+    }
+
     @Test
     void aConfigurationThatIsBadIsOnePlainLine() throws Exception {
         Process process = serve(CONFIG.replace("\"sockets\":1024", "\"sockets\":\"many\""));
--- a/sidecar/src/test/java/martenlatch/sidecar/ReloadTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/ReloadTest.java
@@ -6,6 +6,9 @@
 
 import java.io.IOException;
 import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -69,6 +72,28 @@
         assertFalse(rig.logged().contains("discovery failed"), rig.logged());
     }
 
+    /** Guards against a fleet that is moved, asks the new place all at once, and is turned away by it. */
+    @Test
+    void aFleetThatIsMovedSpreadsItsFirstCalls() throws Exception {
+        rig.askWithinMs = 2000;
+        rig.start();
+        List<Double> waits = new ArrayList<>();
+        try (Fake one = discoveryWith(1, after); Fake other = discoveryWith(1, before)) {
+            for (int i = 0; i < 6; i++) {
+                Fake next = i % 2 == 0 ? one : other;
+                int asked = next.requests.size();
+                long began = System.nanoTime();
+                Files.writeString(rig.configFile, rig.config().replace(rig.discovery.address(),
+                    next.address())
+                    .replace("\"replicas-of-me\":1", "\"replicas-of-me\":40"));
+                rig.sidecar.reload();
+                Rig.await("it asks there", () -> next.requests.size() > asked);
+                waits.add((System.nanoTime() - began) / 1e6);
+            }
+        }
+        assertTrue(Collections.max(waits) > 200, "all of them within 200 of up to 975 ms: " + waits);
+    }
+
     @Test
     void aRequestInHandIsNotTouched() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
--- a/sidecar/src/test/java/martenlatch/sidecar/SidecarTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SidecarTest.java
@@ -449,6 +449,26 @@
         assertThrows(IOException.class, () -> rig.client());
     }
 
+    /**
+     * Guards against requests lost at a planned restart: a client that would wait for longer than the process
+     * lives has its answer before its end.
+     */
+    @Test
+    void aDrainAnswersInTimeWhatNoEndpointAnswers() throws Exception {
+        start(new Fake((wire, request) -> wire.awaitEnd()));
+        Wire unsafe = rig.client().send(rig.request("order", DEADLINE_MS));
+        Wire safe = rig.client().send(rig.request("read", DEADLINE_MS));
+        Rig.await("both are at the endpoint", () -> rig.attempts() == 2);
+        Thread drain = new Thread(rig.sidecar::drain);
+        drain.start();
+        assertEquals(502, unsafe.read().status(), "it may have run");
+        assertEquals(503, safe.read().status(), "it may be tried elsewhere");
+        unsafe.close();
+        safe.close();
+        drain.join();
+        assertTrue(rig.logged().contains("martenlatch: drained"), rig.logged());
+    }
+
     /** Guards against a warm-up that leaks: endpoints and discovery see nothing of it. */
     @Test
     void theWarmUpStaysWithinTheSidecar() throws Exception {
