--- a/sidecar/src/main/java/martenlatch/host/Exchange.java
+++ b/sidecar/src/main/java/martenlatch/host/Exchange.java
@@ -182,8 +182,8 @@
     }
 
     /**
-     * This process ends: every request in hand has its final answer by {@code latest}, however long its client
-     * would wait. What is still coming has its deadline cut by {@link #hasCome}.
+     * This process ends: every request in hand has its final answer by {@code latest}, however long its
+     * client would wait. What is still coming has its deadline cut by {@link #hasCome}.
      */
     public void endBy(double latest) {
         for (Open open : table.values()) {
@@ -196,7 +196,8 @@
             for (Try made : open.tries) {
                 if (!made.ended && made.sentAt + made.waitMs > latest) {
                     made.timeout.cancel();
-                    made.timeout = time.after(latest - time.now(), () -> giveUp(open, made, Outcome.TIMED_OUT));
+                    made.timeout = time.after(latest - time.now(),
+                        () -> giveUp(open, made, Outcome.TIMED_OUT));
                 }
             }
         }
