--- a/tools/src/main/java/martenlatch/load/Kind.java
+++ b/tools/src/main/java/martenlatch/load/Kind.java
@@ -21,7 +21,8 @@
         /** Harm: sent with POST. */
         UNSAFE;
 
-        static Effect parse(String text) {
+        /** Reads its name in small letters; anything else is an exception that names field and value. */
+        public static Effect parse(String text) {
             try {
                 return valueOf(text.toUpperCase(Locale.ROOT));
             } catch (IllegalArgumentException e) {
--- a/tools/src/main/java/martenlatch/load/LoadRun.java
+++ b/tools/src/main/java/martenlatch/load/LoadRun.java
@@ -58,6 +58,11 @@
         }
     }
 
+    /** When its time 0 is, on {@link System#nanoTime()}'s clock. */
+    public long startNanos() {
+        return start;
+    }
+
     private static final Wish LAST = new Wish(-1, Long.MAX_VALUE,
         new Kind("none", 1, Kind.Effect.REPEATABLE, 0, 1, 0), null, 0, 1);
 
--- a/tools/src/main/java/martenlatch/load/http/HttpDriver.java
+++ b/tools/src/main/java/martenlatch/load/http/HttpDriver.java
@@ -271,6 +271,12 @@
         return call;
     }
 
+    /** Whether a connection stands that the next call would go out on. */
+    public boolean hasIdle() {
+        Connection next = idle.peek();
+        return next != null && next.channel.isActive() && System.nanoTime() - next.idleSince < IDLE_NANOS;
+    }
+
     private void connectIfWanted() {
         while (!loop.isShuttingDown() && connecting < waiting.size() && all.size() < most) {
             while (!waiting.isEmpty() && waiting.peek().over) {
--- a/tools/src/main/java/martenlatch/tools/Main.java
+++ b/tools/src/main/java/martenlatch/tools/Main.java
@@ -198,7 +198,7 @@
                     result.summary());
                 out.println("plots: " + page.toAbsolutePath());
             }
-            return result.holds() ? status(result.report()) : 1;
+            return result.holds() ? 0 : 1;
         }
     }
 }
--- a/tools/src/main/java/martenlatch/world/Endpoint.java
+++ b/tools/src/main/java/martenlatch/world/Endpoint.java
@@ -182,14 +182,14 @@
                 ledger.afterDrain();
             }
             if (drained || working >= settings.slots() && queue.size() >= settings.queue()) {
-                ledger.turnedAway();
+                ledger.turnedAway(id, name);
                 FullHttpResponse away = answer(OVER, "not run\n");
                 away.headers().set("X-Not-Run", "1");
                 write(ctx, away, keep);
                 return;
             }
-            ledger.ran(name, request.method() == HttpMethod.POST
-                && !request.headers().contains("Idempotency-Key"));
+            ledger.ran(id, name, request.method() == HttpMethod.POST
+                && !request.headers().contains("Idempotency-Key"), now < warmAt);
             if (now < warmAt) {
                 ledger.cold();
             }
@@ -248,13 +248,13 @@
                 case HALF -> raw(ctx, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf", true);
                 case GARBLES -> raw(ctx, "220 mail.example ESMTP\r\n\r\n", true);
                 case TWICE -> {
-                    ledger.answered();
+                    ledger.answered(id, name);
                     raw(ctx, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1"
                         + "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2", false);
                 }
                 case ERRORS -> write(ctx, answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, "error\n"), keep);
                 default -> {
-                    ledger.answered();
+                    ledger.answered(id, name);
                     write(ctx, answer(HttpResponseStatus.OK, name + "\n"), keep);
                 }
             }
--- a/tools/src/main/java/martenlatch/world/ServiceTime.java
+++ b/tools/src/main/java/martenlatch/world/ServiceTime.java
@@ -53,7 +53,8 @@
             + "but is \"" + text + "\"", cause);
     }
 
-    double draw(SplittableRandom random) {
+    /** One of them, in milliseconds. */
+    public double draw(SplittableRandom random) {
         return switch (form) {
             case CONSTANT -> meanMs;
             case EXPONENTIAL -> -meanMs * Math.log(1 - random.nextDouble());
--- a/tools/src/main/java/martenlatch/world/World.java
+++ b/tools/src/main/java/martenlatch/world/World.java
@@ -23,9 +23,14 @@
      * @param discoveryPort where discovery listens, or 0 for a port of the system's choice
      */
     public World(WorldSettings settings, int discoveryPort) {
+        this(settings, discoveryPort, new Ledger(settings.ids()));
+    }
+
+    /** As above, with a ledger that the caller has made. */
+    public World(WorldSettings settings, int discoveryPort, Ledger ledger) {
         group = new MultiThreadIoEventLoopGroup(settings.threads() + 1,
             new DefaultThreadFactory("world", true), NioIoHandler.newFactory());
-        ledger = new Ledger(settings.ids());
+        this.ledger = ledger;
         discovery = new Discovery((EventLoop) group.next());
         discovery.listen(discoveryPort);
         List<EventLoop> loops = new ArrayList<>();
