Fleet: sidecars as processes, faults between them, one history and judges, simulated time

Change: module fleet/ (docs/fleet.md): relays with a conduct for each direction over TCP and UDP, processes with the deploy file's options and a reaper, scenarios as files, judges for the four rules by id and for the rig itself, reports, the same scenarios in simulated time with Decide and Exchange unchanged, random plans, ddmin.

--- /dev/null
+++ b/fleet/src/main/java/martenlatch/fleet/judge/Judge.java
@@ -0,0 +1,13 @@
+package martenlatch.fleet.judge;
+
+import java.util.List;
+
+/** Looks for one kind of harm in what a run has left. */
+public interface Judge {
+
+    /** Its name in findings. */
+    String name();
+
+    /** All that it finds, in order of time. */
+    List<Finding> judge(Record run);
+}
--- /dev/null
+++ b/fleet/src/main/java/martenlatch/fleet/rig/FrontDriver.java
@@ -0,0 +1,64 @@
+package martenlatch.fleet.rig;
+
+import io.netty.channel.IoEventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import martenlatch.fleet.front.Front;
+import martenlatch.fleet.history.Event.What;
+import martenlatch.fleet.history.History;
+import martenlatch.load.Driver;
+import martenlatch.load.End;
+import martenlatch.load.Wish;
+import martenlatch.load.http.HttpDriver;
+
+/** Clients behind the front: each request goes to the sidecar that the front names, and into the history. */
+final class FrontDriver implements Driver {
+
+    /** Clients give up so much later than they say that they will. */
+    static final int GRACE_MS = 250;
+    private static final String CLIENTS = "clients";
+
+    private final List<HttpDriver> drivers = new ArrayList<>();
+    private final Front front;
+    private final History history;
+
+    FrontDriver(IoEventLoop loop, List<InetSocketAddress> targets, int most, Front front, History history) {
+        this.front = front;
+        this.history = history;
+        for (InetSocketAddress target : targets) {
+            drivers.add(new HttpDriver(loop, List.of(target), Math.max(1, most / targets.size())));
+        }
+    }
+
+    @Override
+    public Call send(Wish wish, String id, boolean retry, long leftNanos, Ending ending) {
+        long said = leftNanos - GRACE_MS * 1_000_000L;
+        int sidecar = front.pick(history.now(), i -> drivers.get(i).hasIdle());
+        String name = "n" + sidecar;
+        history.tell(What.ASKED, CLIENTS, name, id, wish.kind().name() + " " + wish.kind().effect() + " "
+            + said / 1_000_000);
+        Call call = drivers.get(sidecar).send(wish, id, retry, said, new Ending() {
+            @Override
+            public void written() {
+                ending.written();
+            }
+
+            @Override
+            public void ended(End end, String cause, double retryAfterMs) {
+                history.tell(What.ENDED, CLIENTS, name, id, end + (cause.isEmpty() ? "" : " " + cause));
+                ending.ended(end, cause, retryAfterMs);
+            }
+        });
+        return () -> {
+            boolean sent = call.giveUp();
+            history.tell(What.ENDED, CLIENTS, name, id, (sent ? End.TIMED_OUT : End.NOT_SENT).toString());
+            return sent;
+        };
+    }
+
+    @Override
+    public void close() {
+        drivers.forEach(HttpDriver::close);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/martenlatch/fleet/rig/RelayCost.java
@@ -0,0 +1,72 @@
+package martenlatch.fleet.rig;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import martenlatch.fleet.link.LinkWatch;
+import martenlatch.fleet.link.Loopback;
+import martenlatch.fleet.link.StreamLink;
+import martenlatch.load.Arrivals;
+import martenlatch.load.Kind;
+import martenlatch.load.LoadPlan;
+import martenlatch.load.LoadReport;
+import martenlatch.load.LoadRun;
+import martenlatch.load.Schedule;
+import martenlatch.load.Shape;
+import martenlatch.load.http.HttpDriver;
+import martenlatch.world.ServiceTime;
+import martenlatch.world.World;
+import martenlatch.world.WorldSettings;
+
+/**
+ * What a relay adds to a request's time: the same load on an endpoint that answers at once, without and
+ * with one.
+ */
+public final class RelayCost {
+
+    private static final int CONNECTIONS = 64;
+    private static final double WARM_SECONDS = 3;
+
+    private RelayCost() {
+    }
+
+    /** Both reports; the first is that without a relay. */
+    public static List<LoadReport> measure(double rate, double seconds) throws IOException,
+            InterruptedException {
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            new DefaultThreadFactory("links", true),
+            NioIoHandler.newFactory());
+        try (World world = new World(WorldSettings.plain(1, ServiceTime.parse("constant 0")), 0)) {
+            InetSocketAddress direct = world.endpoints().get(0).address();
+            StreamLink link = new StreamLink((EventLoop) group.next(), "load", "s0", direct, 1,
+                new LinkWatch() {
+                @Override
+                public void request(String from, String to, String id) {
+                    return;
+                }
+
+                @Override
+                public void late(double ms) {
+                    return;
+                }
+            }, System::nanoTime).listen(new Loopback(ProcessHandle.current().pid()).next());
+            return List.of(load(direct, rate, seconds), load(link.address(), rate, seconds));
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private static LoadReport load(InetSocketAddress target, double rate, double seconds)
+            throws IOException, InterruptedException {
+        List<InetSocketAddress> targets = List.of(target);
+        List<Kind> kinds = List.of(new Kind("look-up", 1, Kind.Effect.REPEATABLE, 0, 1000, 0));
+        return new LoadRun(new LoadPlan(targets, 1, CONNECTIONS, WARM_SECONDS), Arrivals.drawn(new Schedule(
+            List.of(new Shape.Constant(rate, seconds + WARM_SECONDS)), true, 1), kinds, 1),
+            (loop, most) -> new HttpDriver(loop, targets, most), second -> { }).run();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimDiscovery.java
@@ -0,0 +1,101 @@
+package martenlatch.fleet.sim;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import martenlatch.fleet.history.Event.What;
+import martenlatch.fleet.history.History;
+import martenlatch.host.ServerList;
+import martenlatch.policy.Contract.Server;
+import martenlatch.policy.Contract.State;
+import martenlatch.world.Discovery.Manner;
+
+/** Discovery in simulated time: the whole list, and watches that wait for what is newer. */
+final class SimDiscovery {
+
+    /** Hears the answer to one call. */
+    interface Caller {
+        void answered(ServerList list);
+
+        void refused();
+    }
+
+    private record Entry(Server server, long version) {
+    }
+
+    private record Watch(String viewer, long index, Caller caller) {
+    }
+
+    private final History history;
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private Manner manner = Manner.GOOD;
+    private long version;
+
+    SimDiscovery(History history) {
+        this.history = history;
+    }
+
+    void put(Server server) {
+        entries.put(server.id(), new Entry(server, ++version));
+        tell();
+    }
+
+    void manner(Manner next) {
+        manner = next;
+        tell();
+    }
+
+    /** The whole list, for a start. */
+    ServerList list() {
+        return list(-1);
+    }
+
+    private void tell() {
+        for (Watch watch : List.copyOf(watches)) {
+            if (version > watch.index() || manner != Manner.GOOD) {
+                watches.remove(watch);
+                answer(watch);
+            }
+        }
+    }
+
+    /**
+     * Where there is nothing newer than {@code index} the call waits; a caller that is gone stays until
+     * then.
+     */
+    void ask(String viewer, long index, Caller caller) {
+        Watch watch = new Watch(viewer, index, caller);
+        if (index < version || manner != Manner.GOOD) {
+            answer(watch);
+        } else {
+            watches.removeIf(one -> one.viewer().equals(viewer));
+            watches.add(watch);
+        }
+    }
+
+    private void answer(Watch watch) {
+        switch (manner) {
+            case SILENT -> { }
+            case DOWN, WRONG -> watch.caller().refused();
+            default -> {
+                ServerList list = list(watch.index());
+                for (ServerList.Entry entry : list.entries()) {
+                    history.tell(What.TOLD, watch.viewer(), entry.server().id(), "",
+                        entry.server().state() == State.READY ? "in_service"
+                            : entry.server().state() == State.DRAINING ? "terminating" : "terminated");
+                }
+                watch.caller().answered(list);
+            }
+        }
+    }
+
+    private ServerList list(long since) {
+        boolean full = since < 0;
+        List<ServerList.Entry> told = entries.values().stream()
+            .filter(one -> one.version() > since && !(full && one.server().state() == State.GONE))
+            .map(one -> new ServerList.Entry(one.server(), null)).toList();
+        return new ServerList(version, full, told);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
@@ -0,0 +1,365 @@
+package martenlatch.fleet.sim;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+import martenlatch.fleet.history.Event.What;
+import martenlatch.fleet.history.History;
+import martenlatch.fleet.link.Conduct;
+import martenlatch.host.Answer;
+import martenlatch.host.Carrier;
+import martenlatch.host.Client;
+import martenlatch.host.Complaints;
+import martenlatch.host.EndpointTable;
+import martenlatch.host.Exchange;
+import martenlatch.host.ServerList;
+import martenlatch.host.Time;
+import martenlatch.host.Witness;
+import martenlatch.policy.Contract.Outcome;
+import martenlatch.policy.Contract.Request;
+import martenlatch.policy.Contract.Settings;
+
+/**
+ * A sidecar in simulated time: the program's own decisions and host; connections and the watch on discovery
+ * behave as the program's do. While it is paused, all that comes to it waits.
+ */
+final class SimSidecar {
+
+    /**
+     * How the program asks discovery ({@code membership.DiscoveryClient}): wait so long, and this much
+     * more.
+     */
+    private static final double WAIT_MS = 20_000;
+    private static final double SILENCE_MS = 2000;
+    /** How it drains ({@code sidecar.Sidecar}): the last new request, every answer, its end. */
+    private static final double LAST_CALL_MS = 2700;
+    private static final double ANSWERED_MS = 3400;
+
+    /** Links to one endpoint, made when they are first used. */
+    private final class Way {
+        private final SimLink onwards;
+        private final SimLink backwards;
+        private final SimEndpoint endpoint;
+        private int idle;
+
+        Way(SimEndpoint endpoint, long seed) {
+            this.endpoint = endpoint;
+            onwards = new SimLink(time, seed);
+            backwards = new SimLink(time, ~seed);
+        }
+
+        boolean isCut() {
+            return onwards.isSilent() || backwards.isSilent();
+        }
+    }
+
+    private final String name;
+    private final VirtualTime time;
+    private final History history;
+    private final SimDiscovery discovery;
+    private final Function<String, SimEndpoint> endpoints;
+    private final Settings settings;
+    private final long seed;
+    private final Map<String, Way> ways = new HashMap<>();
+    private final SimLink toDiscovery;
+    private final SimLink fromDiscovery;
+    private final Deque<Runnable> waiting = new ArrayDeque<>();
+    private Exchange exchange;
+    private boolean paused;
+    private boolean alive;
+    private double leavesAt = Double.POSITIVE_INFINITY;
+    private int life;
+    /** The watch: what is known, and the call that is out. */
+    private long version;
+    private int call;
+    private boolean asking;
+    private Time.Timer silence;
+
+    SimSidecar(String name, VirtualTime time, History history, SimDiscovery discovery,
+            Function<String, SimEndpoint> endpoints, Settings settings, long seed) {
+        this.name = name;
+        this.time = time;
+        this.history = history;
+        this.discovery = discovery;
+        this.endpoints = endpoints;
+        this.settings = settings;
+        this.seed = seed;
+        toDiscovery = new SimLink(time, seed + 1);
+        fromDiscovery = new SimLink(time, seed + 2);
+    }
+
+    boolean isAlive() {
+        return alive;
+    }
+
+    /** Whether new requests are still taken in. */
+    boolean takes() {
+        return alive && time.elapsed() < leavesAt + LAST_CALL_MS;
+    }
+
+    void start() {
+        alive = true;
+        life++;
+        leavesAt = Double.POSITIVE_INFINITY;
+        paused = false;
+        ServerList known = discovery.list();
+        version = known.version();
+        asking = false;
+        exchange = new Exchange(new OwnTime(), new Complaints(time,
+            new PrintStream(OutputStream.nullOutputStream())),
+            new Table(), this::watch, settings, seed * 31 + life, known, Witness.NONE);
+        history.tell(What.PROCESS, name, "", "", "serves");
+    }
+
+    void kill() {
+        alive = false;
+        life++;
+        paused = false;
+        waiting.clear();
+        ways.values().forEach(way -> way.idle = 0);
+        history.tell(What.PROCESS, name, "", "", "killed");
+    }
+
+    /** Asked to end: every request has its answer in time, and then it is gone. */
+    void leave(Runnable gone) {
+        leavesAt = time.elapsed();
+        history.tell(What.PROCESS, name, "", "", "told to end");
+        exchange.endBy(time.now() + ANSWERED_MS);
+        int mine = life;
+        time.after(ANSWERED_MS + 1, () -> {
+            if (mine == life) {
+                alive = false;
+                life++;
+                ways.values().forEach(way -> way.idle = 0);
+                history.tell(What.PROCESS, name, "", "", "ended 0");
+                gone.run();
+            }
+        });
+    }
+
+    void pause() {
+        if (alive && !paused) {
+            paused = true;
+            history.tell(What.PROCESS, name, "", "", "paused");
+        }
+    }
+
+    void resume() {
+        if (alive && paused) {
+            paused = false;
+            history.tell(What.PROCESS, name, "", "", "resumed");
+            // What waited was read and was due before anything that comes now.
+            int mine = life;
+            while (!waiting.isEmpty() && mine == life && !paused) {
+                waiting.poll().run();
+            }
+        }
+    }
+
+    /** Something comes to this process, or is due in it. */
+    private void enter(int mine, Runnable work) {
+        if (mine != life || !alive) {
+            return;
+        }
+        if (paused) {
+            waiting.add(() -> enter(mine, work));
+        } else {
+            work.run();
+        }
+    }
+
+    /** A client's request has come; its deadline is a time on the simulation's clock. */
+    void request(Request request, Client client) {
+        enter(life, () -> {
+            double latest = leavesAt + ANSWERED_MS - time.elapsed() + time.now();
+            Request taken = request.deadlineMs() <= latest ? request
+                : new Request(request.id(), request.requestClass(), request.tenant(), latest,
+                request.resent());
+            exchange.request(taken, (server, wait, ending) -> send(request.id(), server, ending), client);
+        });
+    }
+
+    /** Its client has gone away. */
+    void clientGone(String id) {
+        enter(life, () -> exchange.clientGone(id));
+    }
+
+    private final class OwnTime implements Time {
+        @Override
+        public double now() {
+            return time.now();
+        }
+
+        @Override
+        public Timer after(double ms, Runnable task) {
+            int mine = life;
+            boolean[] cancelled = new boolean[1];
+            Timer timer = time.after(ms, () -> enter(mine, () -> {
+                if (!cancelled[0]) {
+                    task.run();
+                }
+            }));
+            return () -> {
+                cancelled[0] = true;
+                timer.cancel();
+            };
+        }
+    }
+
+    private final class Table implements EndpointTable {
+        @Override
+        public void update(ServerList list) {
+            return;
+        }
+
+        @Override
+        public void disconnect(String server) {
+            Way way = ways.get(server);
+            if (way != null) {
+                way.idle = 0;
+            }
+        }
+    }
+
+    // ---- attempts ----
+
+    private Way way(String server) {
+        return ways.computeIfAbsent(server, id -> new Way(endpoints.apply(id), seed * 1_000_003
+            + id.hashCode()));
+    }
+
+    private final class Sent implements Carrier.Attempt {
+        private boolean written;
+        private boolean over;
+
+        @Override
+        public boolean giveUp() {
+            over = true;
+            return written;
+        }
+    }
+
+    private Carrier.Attempt send(String id, String server, Carrier.Ending ending) {
+        Way way = way(server);
+        Sent sent = new Sent();
+        int mine = life;
+        if (way.idle > 0) {
+            way.idle--;
+            write(way, id, sent, ending, mine);
+            return sent;
+        }
+        double up = 2 * SimLink.BASE_MS;
+        Time.Timer failed = time.after(settings.limits().connectTimeoutMs(), () -> enter(mine, () -> {
+            if (!sent.written && !sent.over) {
+                sent.over = true;
+                ending.ended(Outcome.CONNECT_ERROR, null);
+            }
+        }));
+        if (!way.isCut()) {
+            time.after(up, () -> enter(mine, () -> {
+                if (sent.over) {
+                    return;
+                }
+                failed.cancel();
+                if (way.endpoint.isAlive()) {
+                    write(way, id, sent, ending, mine);
+                } else {
+                    sent.over = true;
+                    ending.ended(Outcome.CONNECT_ERROR, null);
+                }
+            }));
+        }
+        return sent;
+    }
+
+    private void write(Way way, String id, Sent sent, Carrier.Ending ending, int mine) {
+        sent.written = true;
+        history.tell(What.SENT, name, way.endpoint.id(), id, "");
+        boolean[] answered = new boolean[1];
+        way.onwards.send(() -> way.endpoint.receive(id, reply -> way.backwards.send(() -> enter(mine, () -> {
+            if (sent.over || answered[0]) {
+                return;
+            }
+            answered[0] = true;
+            sent.over = true;
+            if (reply != SimEndpoint.Reply.RESET) {
+                way.idle++;
+            }
+            switch (reply) {
+                case OK -> ending.ended(Outcome.OK, new Answer(200, false, true, null, new byte[0]));
+                case ERROR -> ending.ended(Outcome.FAILED, null);
+                case NOT_RUN -> ending.ended(Outcome.QUEUE_FULL, null);
+                default -> ending.ended(Outcome.RESET, null);
+            }
+        }))));
+    }
+
+    // ---- the watch on discovery, as the program's ----
+
+    private void watch() {
+        if (asking) {
+            return;
+        }
+        asking = true;
+        int mine = life;
+        int out = ++call;
+        silence = time.after(WAIT_MS + SILENCE_MS, () -> enter(mine, () -> failed(out)));
+        toDiscovery.send(() -> discovery.ask(name, version, new SimDiscovery.Caller() {
+            @Override
+            public void answered(ServerList list) {
+                fromDiscovery.send(() -> enter(mine, () -> listed(out, list)));
+            }
+
+            @Override
+            public void refused() {
+                fromDiscovery.send(() -> enter(mine, () -> failed(out)));
+            }
+        }));
+    }
+
+    private void listed(int of, ServerList list) {
+        if (of == call && asking) {
+            asking = false;
+            silence.cancel();
+            version = list.version();
+            watch();
+            exchange.listed(list);
+        }
+    }
+
+    private void failed(int of) {
+        if (of == call && asking) {
+            asking = false;
+            silence.cancel();
+            exchange.failed();
+        }
+    }
+
+    /** How its links behave from now on. */
+    void conduct(String to, Conduct onwards, Conduct backwards) {
+        if (to.equals("discovery")) {
+            toDiscovery.conduct(onwards);
+            fromDiscovery.conduct(backwards);
+        } else {
+            way(to).onwards.conduct(onwards);
+            way(to).backwards.conduct(backwards);
+        }
+    }
+
+    /** All connections to an endpoint have ended. */
+    void broken(String endpoint) {
+        Way way = ways.get(endpoint);
+        if (way != null) {
+            way.idle = 0;
+        }
+    }
+
+    /** Requests in hand. */
+    int open() {
+        return alive ? exchange.openRequests() : 0;
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/martenlatch/fleet/judge/JudgesTest.java
@@ -0,0 +1,186 @@
+package martenlatch.fleet.judge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import martenlatch.fleet.history.Event;
+import martenlatch.fleet.history.Event.What;
+import martenlatch.fleet.scenario.Scenario;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Judges before histories with a planted violation each: it is found by its id, and what only looks like
+ * one is not.
+ */
+class JudgesTest {
+
+    private static final String FILE = """
+        seconds = 10
+        [fleet]
+        sidecars = 2
+        endpoints = 2
+        [[class]]
+        name = "book"
+        effect = "unsafe"
+        [endpoint]
+        service = "constant 10"
+        slots = 1
+        cold-ms = 3000
+        cold-factor = 4
+        """;
+
+    private final List<Event> events = new ArrayList<>();
+
+    private JudgesTest at(double ms, What what, String who, String whom, String id, String detail) {
+        events.add(new Event(ms, what, who, whom, id, detail));
+        return this;
+    }
+
+    private JudgesTest asked(double ms, String id) {
+        return at(ms, What.ASKED, "clients", "n0", id, "book UNSAFE 1000");
+    }
+
+    private JudgesTest ended(double ms, String id, String how) {
+        return at(ms, What.ENDED, "clients", "n0", id, how);
+    }
+
+    private JudgesTest ran(double ms, String id, String endpoint) {
+        return at(ms, What.SENT, "n0", endpoint, id, "").at(ms + 1, What.RAN, endpoint, "", id, "");
+    }
+
+    private Verdict verdict(String faults) {
+        try {
+            return Verdict.of(new Record(Scenario.of(new TomlMapper().readTree(FILE + faults)), events, 0));
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void assertFound(String judge, String id) {
+        Verdict verdict = verdict("");
+        assertEquals(List.of(judge + " " + id), verdict.findings().stream().map(f -> f.judge() + " "
+            + f.id()).toList());
+        assertEquals(Verdict.Outcome.BROKEN, verdict.outcome());
+    }
+
+    private void assertClean(String faults) {
+        Verdict verdict = verdict(faults);
+        assertEquals(List.of(), verdict.findings());
+        assertEquals(Verdict.Outcome.HELD, verdict.outcome(), verdict.spoilt().toString());
+    }
+
+    @Test
+    void aRequestThatGetsNoAnswerIsLost() {
+        asked(100, "r1").ran(110, "r1", "s0").ended(1350, "r1", "TIMED_OUT");
+        asked(100, "r2").ran(110, "r2", "s0").ended(200, "r2", "SERVED");
+        assertFound("lost", "r1");
+    }
+
+    @Test
+    void whatADeadOrPausedSidecarHadIsNotLostByIt() {
+        at(500, What.PROCESS, "n0", "", "", "paused").at(3500, What.PROCESS, "n0", "", "", "resumed");
+        asked(100, "r1").ran(110, "r1", "s0").ended(1350, "r1", "TIMED_OUT");
+        asked(3400, "r2").ended(4650, "r2", "TIMED_OUT");
+        assertClean("");
+        // Asked well after it went on: that is its own.
+        asked(3700, "r3").ended(4950, "r3", "TIMED_OUT");
+        assertFound("lost", "r3");
+    }
+
+    @Test
+    void whatALinkSpoilsIsNotTheSidecars() {
+        asked(1100, "r1").ended(1200, "r1", "FAILED reset");
+        assertClean("[[fault]]\nat = 1\nfor = 1\ndo = \"link\"\nfrom = \"clients\"\n"
+            + "to = \"sidecar 0\"\nhalf = 0.5\n");
+        assertFound("lost", "r1");
+    }
+
+    /** A close between two requests crosses one that was not read; one that was sent on is lost. */
+    @Test
+    void aCloseDuringADrainCrossesWhatWasNotRead() {
+        at(100, What.PROCESS, "n0", "", "", "told to end").at(3000, What.PROCESS, "n0", "", "", "ended 0");
+        asked(2700, "r1").ended(2701, "r1", "FAILED closed");
+        assertClean("");
+        asked(2000, "r2").ran(2010, "r2", "s1").ended(2900, "r2", "FAILED closed");
+        assertFound("lost", "r2");
+    }
+
+    @Test
+    void anUnsafeRequestThatRunsTwiceIsNamed() {
+        asked(100, "r1").ran(110, "r1", "s0").ran(150, "r1", "s1").ended(200, "r1", "SERVED");
+        assertFound("twice", "r1");
+    }
+
+    @Test
+    void anUnsafeRequestThatRanIsNotRefused() {
+        asked(100, "r1").ran(110, "r1", "s0").ended(200, "r1", "REFUSED refused 503");
+        assertFound("twice", "r1");
+    }
+
+    /** Told and sent count at the sidecar's end: what its link then delays is not its own. */
+    @Test
+    void whatIsSentAfterADrainWasToldIsNamed() {
+        at(100, What.TOLD, "n0", "s0", "", "terminating");
+        asked(400, "r1").at(600, What.SENT, "n0", "s0", "r1", "").at(2000, What.RAN, "s0", "", "r1", "")
+            .ended(2100, "r1", "FAILED status 502");
+        assertClean("");
+        asked(500, "r2").ran(700, "r2", "s0").ended(800, "r2", "SERVED");
+        asked(500, "r3").ran(700, "r3", "s1").ended(800, "r3", "SERVED");
+        assertFound("drain", "r2");
+    }
+
+    @Test
+    void aDrainThatASidecarCouldNotHearCountsLater() {
+        at(100, What.TOLD, "n0", "s0", "", "terminating");
+        asked(500, "r1").ran(2500, "r1", "s0").ended(2600, "r1", "SERVED");
+        String cut = "[[fault]]\nat = 0\nfor = 2\ndo = \"link\"\nfrom = \"sidecar 0\"\n"
+            + "to = \"discovery\"\ncut = true\n";
+        assertClean(cut);
+        asked(500, "r2").ran(2600, "r2", "s0").ended(2700, "r2", "SERVED");
+        assertEquals(List.of("r2"), verdict(cut).findings().stream().map(Finding::id).toList());
+    }
+
+    /** Warm it does 100 a second, cold 25: three times that for 1.5 s, and what chance adds, are 144. */
+    @Test
+    void aColdEndpointThatAllSidecarsFloodIsNamed() {
+        at(1000, What.ENDPOINT_UP, "s0", "", "", "3000.0");
+        for (int i = 0; i < 144; i++) {
+            asked(1000 + i, "r" + i).ran(1000 + i, "r" + i, "s0").ended(2000, "r" + i, "SERVED");
+        }
+        assertClean("");
+        asked(1200, "last").ran(1200, "last", "s0").ended(2000, "last", "SERVED");
+        assertEquals("cold", verdict("").findings().get(0).judge());
+    }
+
+    @Test
+    void aProcessThatEndsUnaskedIsNamed() {
+        at(1000, What.PROCESS, "n1", "", "", "died 134");
+        assertEquals("n1 ended with status 134", verdict("").findings().get(0).what());
+    }
+
+    /** Where the rig was at fault the run says nothing, whatever was found in it. */
+    @Test
+    void aSpoiltRunIsVoid() {
+        asked(100, "r1").ran(110, "r1", "s0").ended(1350, "r1", "TIMED_OUT");
+        at(300, What.RIG, "beat", "", "", "120.0");
+        assertEquals(Verdict.Outcome.BROKEN, verdict("").outcome(), "a little late is no excuse");
+        at(300, What.RIG, "beat", "", "", "400.0");
+        assertEquals(Verdict.Outcome.VOID, verdict("").outcome());
+    }
+
+    @Test
+    void aHistoryWithAGapIsVoid() {
+        ran(100, "r1", "s0");
+        assertTrue(verdict("").spoilt().get(0).what().contains("no client has sent this request"));
+        events.clear();
+        asked(100, "r2").at(120, What.RAN, "s0", "", "r2", "").ended(130, "r2", "SERVED");
+        assertTrue(verdict("").spoilt().get(0).what().contains("went over no link"));
+        events.clear();
+        at(100, What.RIG, "faults", "", "", "failed n0 was not paused");
+        assertEquals(Verdict.Outcome.VOID, verdict("").outcome());
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/martenlatch/fleet/launch/ReaperTest.java
@@ -0,0 +1,135 @@
+package martenlatch.fleet.launch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Nothing outlives the rig, however it ends. */
+@Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class ReaperTest {
+
+    private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(40);
+
+    @TempDir
+    Path folder;
+
+    private static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long until = System.nanoTime() + PATIENCE_NANOS;
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < until, what);
+            Thread.sleep(5);
+        }
+    }
+
+    private List<Path> left() {
+        try (Stream<Path> all = Files.list(folder)) {
+            return all.filter(path ->
+                path.getFileName().toString().startsWith("martenlatch-fleet-")).toList();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private List<Long> processes() {
+        List<Long> pids = new ArrayList<>();
+        for (Path one : left()) {
+            try {
+                Files.readAllLines(one.resolve("processes")).forEach(l ->
+                    pids.add(Long.parseLong(l.split(" ")[0])));
+            } catch (IOException e) {
+                continue;
+            }
+        }
+        return pids;
+    }
+
+    /**
+     * Guards against sidecars that go on for ever: Ctrl-C, and a rig that is killed before it can do
+     * anything.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"INT", "KILL"})
+    void nothingIsLeftWhenTheRigEnds(String signal) throws Exception {
+        Process rig = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Djava.io.tmpdir=" + folder, "-cp", System.getProperty("java.class.path"),
+            "martenlatch.fleet.cli.Main",
+            "run", "calm", "--root", Path.of("..").toAbsolutePath().normalize().toString())
+            .redirectErrorStream(true).start();
+        try (var out = rig.inputReader()) {
+            // The first line of the load: all sidecars serve.
+            String line = out.readLine();
+            assertTrue(line != null && line.contains("served"), line);
+            List<Long> pids = processes();
+            assertEquals(6, pids.size());
+            assertTrue(pids.stream().allMatch(pid -> ProcessHandle.of(pid).isPresent()));
+            assertEquals(0, new ProcessBuilder("kill", "-" + signal, "" + rig.pid()).start().waitFor());
+            await("the rig ends", () -> !rig.isAlive());
+            await("its processes end", () -> pids.stream().noneMatch(pid -> ProcessHandle.of(pid)
+                .filter(ProcessHandle::isAlive).isPresent()));
+            await("its folder goes", () -> left().isEmpty());
+        } finally {
+            rig.destroyForcibly();
+        }
+    }
+
+    /**
+     * Where not even the reaper was left, the next start does its work; a living rig's processes it leaves
+     * alone.
+     */
+    @Test
+    void theNextStartCleansUp() throws Exception {
+        Process old = new ProcessBuilder("sleep", "100").start();
+        Process other = new ProcessBuilder("sleep", "100").start();
+        try (Reaper living = Reaper.begin(folder)) {
+            living.mind(other.pid());
+            Path gone = Files.createDirectory(folder.resolve("martenlatch-fleet-gone"));
+            Files.writeString(gone.resolve("owner"), "999999999 1");
+            // The second line's process has another's id by now.
+            Files.writeString(gone.resolve("processes"), line(old.pid()) + "\n" + other.pid() + " 1\n");
+            assertTrue(Reaper.cleanUp(folder));
+            assertTrue(old.waitFor(20, TimeUnit.SECONDS));
+            assertTrue(other.isAlive());
+            assertEquals(List.of(living.folder()), left());
+            assertFalse(Reaper.cleanUp(folder));
+        } finally {
+            old.destroyForcibly();
+        }
+        assertTrue(other.waitFor(20, TimeUnit.SECONDS), "a reaper ends what is its own");
+        assertEquals(List.of(), left());
+    }
+
+    private static String line(long pid) throws IOException {
+        String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
+        return pid + " " + stat.substring(stat.lastIndexOf(')') + 2).split(" ")[19];
+    }
+
+    @Test
+    void aJarThatIsNotBuiltAndARunThatIsNoCommandAreNamed() throws Exception {
+        Files.createDirectory(folder.resolve("deploy"));
+        Path file = folder.resolve("deploy/balancer.toml");
+        Files.writeString(file, "run = \"exec java -Xmx64m -jar no.jar serve\"\n");
+        DeployFile read = DeployFile.read(folder);
+        assertEquals(List.of("java", "-Xmx64m", "-jar", "no.jar", "serve"), read.command());
+        assertEquals("the jar is not built: " + folder.resolve("no.jar"),
+            assertThrows(IllegalArgumentException.class,
+            () -> read.with(read.jar())).getMessage());
+        Files.writeString(file, "run = \"java -jar x.jar | tee log\"\n");
+        assertTrue(assertThrows(IllegalArgumentException.class, () -> DeployFile.read(folder)).getMessage()
+            .startsWith("run must be exec and a plain command but is"));
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/martenlatch/fleet/rig/FleetRunTest.java
@@ -0,0 +1,159 @@
+package martenlatch.fleet.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Collectors;
+import martenlatch.fleet.history.Event;
+import martenlatch.fleet.history.Event.What;
+import martenlatch.fleet.judge.Finding;
+import martenlatch.fleet.judge.Record;
+import martenlatch.fleet.judge.Verdict;
+import martenlatch.fleet.launch.DeployFile;
+import martenlatch.fleet.link.Conduct;
+import martenlatch.fleet.scenario.Scenario;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Real processes of the built jar, with faults between them. */
+@Timeout(value = 180, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class FleetRunTest {
+
+    /** A run that the machine has spoilt says nothing: it is played again, and not for ever. */
+    private static final int TRIES = 3;
+    private static final String SMALL = """
+        seconds = %s
+        [fleet]
+        sidecars = 3
+        endpoints = 4
+        zones = ["north", "east"]
+        [load]
+        rate = 60
+        [[class]]
+        name = "look-up"
+        effect = "repeatable"
+        deadline-ms = 1500
+        [[class]]
+        name = "book"
+        effect = "unsafe"
+        deadline-ms = 3000
+        """;
+
+    @TempDir
+    Path folder;
+
+    private interface Plant {
+        void in(FleetRun run);
+    }
+
+    private Record record;
+
+    private Verdict play(Scenario scenario, Plant plant) throws Exception {
+        Verdict verdict = null;
+        for (int i = 0; i < TRIES && (verdict == null || verdict.outcome() == Verdict.Outcome.VOID); i++) {
+            try (FleetRun run = new FleetRun(scenario,
+                DeployFile.read(Path.of("..").toAbsolutePath().normalize()),
+                    folder)) {
+                plant.in(run);
+                run.play(second -> { });
+                record = new Record(scenario, run.history().events(), run.history().missing());
+                verdict = Verdict.of(record);
+            }
+        }
+        return verdict;
+    }
+
+    private static Scenario small(String seconds, String faults) throws IOException {
+        JsonNode tree = new TomlMapper().readTree(SMALL.formatted(seconds) + faults);
+        return Scenario.of(tree);
+    }
+
+    private List<String> judges(Verdict verdict) {
+        return verdict.findings().stream().map(Finding::judge).distinct().sorted().toList();
+    }
+
+    /**
+     * Guards against a rig that finds nothing: an unsafe request that a relay writes twice is named by its
+     * id.
+     */
+    @Test
+    void aRelayThatWritesTwiceIsFoundOut() throws Exception {
+        Verdict verdict = play(small("3", """
+            [[fault]]
+            at = 0.5
+            for = 1.5
+            do = "link"
+            from = "sidecar 0"
+            to = "endpoints"
+            duplicate = 0.5
+            direction = "onwards"
+            """), run -> { });
+        List<Finding> twice = verdict.findings().stream().filter(f -> f.judge().equals("twice")).toList();
+        assertFalse(twice.isEmpty(), verdict.toString());
+        List<String> ranTwice = record.all(What.RAN).stream().collect(Collectors.groupingBy(Event::id,
+            Collectors.counting())).entrySet().stream().filter(e ->
+            e.getValue() > 1).map(e -> e.getKey()).toList();
+        assertTrue(ranTwice.containsAll(twice.stream().map(Finding::id).toList()), ranTwice.toString());
+    }
+
+    /** The same: answers that a relay loses, which the plan does not say, are requests lost. */
+    @Test
+    void aRelayThatLosesAnswersIsFoundOut() throws Exception {
+        Verdict verdict = play(small("3", ""),
+            run -> run.clientLink(1).conduct(Conduct.CLEAR,
+                new Conduct(60_000, 0, 0, 0, 0, Double.POSITIVE_INFINITY, 0, false)));
+        assertTrue(judges(verdict).contains("lost"), verdict.toString());
+        assertTrue(verdict.findings().stream().filter(f -> f.judge().equals("lost"))
+            .allMatch(f -> f.what().startsWith("n1 ")), verdict.toString());
+    }
+
+    /** A drain is told, a link delays what is on its way: the sidecar has done nothing wrong. */
+    @Test
+    void aDrainBehindASlowLinkIsNoBreach() throws Exception {
+        Verdict verdict = play(small("5", """
+            [[fault]]
+            at = 0.5
+            for = 4
+            do = "link"
+            from = "sidecars"
+            to = "endpoints"
+            delay-ms = 700
+            direction = "onwards"
+            [[fault]]
+            at = 1.5
+            do = "drain"
+            who = "endpoint 1"
+            """), run -> { });
+        assertEquals(List.of(), verdict.findings(), verdict.toString());
+        assertFalse(record.all(What.TOLD).isEmpty());
+    }
+
+    /** The requests in hand at SIGTERM have their answers before the end, whatever endpoints do. */
+    @Test
+    void aRestartBeforeHungEndpointsLosesNothing() throws Exception {
+        Verdict verdict = play(small("9", """
+            [[class]]
+            name = "long"
+            effect = "unsafe"
+            aim-ms = 5500
+            deadline-ms = 6000
+            [[fault]]
+            at = 1
+            for = 5
+            do = "hang"
+            who = "endpoints"
+            [[fault]]
+            at = 2
+            do = "restart"
+            who = "sidecars"
+            """), run -> { });
+        assertEquals(List.of(), verdict.findings(), verdict.toString());
+    }
+}
