A link's conduct holds for all that is sent after the call returns

Seen: one of 26 tests failed beside eight busy loops (LinksOnSocketsTest, a datagram passed by the conduct before). The change was handed to the links' loop and not waited for.

--- a/fleet/src/main/java/martenlatch/fleet/link/DatagramLinks.java
+++ b/fleet/src/main/java/martenlatch/fleet/link/DatagramLinks.java
@@ -116,9 +116,9 @@
         return toAll[member].localAddress();
     }
 
-    /** How what one member sends to another is treated from now on. */
+    /** How what one member sends to another is treated from now on: what is sent after this returns. */
     public void conduct(int from, int to, Conduct next) {
-        loop.execute(() -> models[from][to].conduct(next));
+        loop.submit(() -> models[from][to].conduct(next)).syncUninterruptibly();
     }
 
     /** Bytes that a member has sent so far, each datagram to all counted once for each that it goes to. */
--- a/fleet/src/main/java/martenlatch/fleet/link/StreamLink.java
+++ b/fleet/src/main/java/martenlatch/fleet/link/StreamLink.java
@@ -120,14 +120,14 @@
         return bound;
     }
 
-    /** How each direction behaves from now on; {@code onwards} is that from sender to target. */
+    /** How each direction treats what is sent after this returns; {@code onwards} is that to the target. */
     public void conduct(Conduct onwards, Conduct backwards) {
-        loop.execute(() -> {
+        loop.submit(() -> {
             there.conduct(onwards);
             back.conduct(backwards);
             mindListener();
             List.copyOf(passages).forEach(Passage::conductChanged);
-        });
+        }).syncUninterruptibly();
     }
 
     /** Whether the target takes no connections: then the system refuses them here too. */
