Simulation: a second SIGTERM changes nothing, and a process's end is seen after its clients'

Seen: SimRunTest.aRestartBeforeHungEndpoints... held with Exchange.endBy taken out: the process's end had the same time as its clients', which excused them. Mended; the test's 40 plans keep the four rules.

--- a/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
@@ -3,8 +3,10 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
 import martenlatch.fleet.history.Event.What;
@@ -68,6 +70,8 @@
     private final SimLink toDiscovery;
     private final SimLink fromDiscovery;
     private final Deque<Runnable> waiting = new ArrayDeque<>();
+    /** Who waits for this process's end. */
+    private final List<Runnable> endings = new ArrayList<>();
     private Exchange exchange;
     private boolean paused;
     private boolean alive;
@@ -122,10 +126,26 @@
         waiting.clear();
         ways.values().forEach(way -> way.idle = 0);
         history.tell(What.PROCESS, name, "", "", "killed");
+        over();
+    }
+
+    private void over() {
+        List<Runnable> all = List.copyOf(endings);
+        endings.clear();
+        all.forEach(Runnable::run);
     }
 
     /** Asked to end: every request has its answer in time, and then it is gone. */
     void leave(Runnable gone) {
+        if (!alive) {
+            gone.run();
+            return;
+        }
+        endings.add(gone);
+        if (leavesAt < Double.POSITIVE_INFINITY) {
+            // A second SIGTERM changes nothing.
+            return;
+        }
         leavesAt = time.elapsed();
         history.tell(What.PROCESS, name, "", "", "told to end");
         exchange.endBy(time.now() + ANSWERED_MS);
@@ -135,8 +155,9 @@
                 alive = false;
                 life++;
                 ways.values().forEach(way -> way.idle = 0);
-                history.tell(What.PROCESS, name, "", "", "ended 0");
-                gone.run();
+                over();
+                // As with real processes: its clients see their connections end before anybody sees it gone.
+                time.after(1, () -> history.tell(What.PROCESS, name, "", "", "ended 0"));
             }
         });
     }
