--- a/fleet/src/test/java/martenlatch/fleet/judge/JudgesTest.java
+++ b/fleet/src/test/java/martenlatch/fleet/judge/JudgesTest.java
@@ -133,6 +133,15 @@
         assertFound("drain", "r2");
     }
 
+    /** What a process was told is not known to the next one, which starts from a list of its own. */
+    @Test
+    void aRestartForgetsWhatWasTold() {
+        at(100, What.TOLD, "n0", "s0", "", "terminating").at(200, What.PROCESS, "n0", "", "", "killed")
+            .at(1200, What.PROCESS, "n0", "", "", "serves");
+        asked(1500, "r1").ran(1510, "r1", "s0").ended(1600, "r1", "SERVED");
+        assertClean("");
+    }
+
     @Test
     void aDrainThatASidecarCouldNotHearCountsLater() {
         at(100, What.TOLD, "n0", "s0", "", "terminating");
