--- a/fleet/src/main/java/martenlatch/fleet/cli/Main.java
+++ b/fleet/src/main/java/martenlatch/fleet/cli/Main.java
@@ -43,7 +43,7 @@
 @Command(name = "martenlatch-fleet", mixinStandardHelpOptions = true, version = "martenlatch-fleet 0.3.0",
     description = "Runs many sidecars as processes on this machine and puts faults between them.",
     subcommands = {Main.Run.class, Main.Simulate.class, Main.Explore.class, Main.ShrinkPlan.class,
-        Main.ListScenarios.class, TableCommand.class, CostCommand.class})
+        Main.ListScenarios.class, TableCommand.class, CostCommand.class, PeersCommand.class})
 public final class Main implements Runnable {
 
     private static final int BROKEN = 1;
@@ -72,7 +72,7 @@
     @Override
     public void run() {
         throw new CommandLine.ParameterException(spec.commandLine(),
-            "a command is missing: run, simulate, explore, shrink, list, table or cost");
+            "a command is missing: run, simulate, explore, shrink, list, table, peers or cost");
     }
 
     static List<String> names() throws IOException {
--- a/fleet/src/main/java/martenlatch/fleet/launch/DeployFile.java
+++ b/fleet/src/main/java/martenlatch/fleet/launch/DeployFile.java
@@ -41,6 +41,13 @@
         return root.resolve(command.get(command.indexOf(JAR) + 1));
     }
 
+    /** The same command with one word more at its end. */
+    public DeployFile and(String word) {
+        List<String> next = new ArrayList<>(command);
+        next.add(word);
+        return new DeployFile(root, List.copyOf(next));
+    }
+
     /**
      * The same command with another build's jar; a class archive fits one build only, and is left out
      * unless it stands beside that jar. A jar that is not there is an exception that names it.
--- a/fleet/src/main/java/martenlatch/fleet/link/StreamLink.java
+++ b/fleet/src/main/java/martenlatch/fleet/link/StreamLink.java
@@ -149,6 +149,19 @@
         if (bound != null) {
             awaitBound(bound);
             loop.execute(this::mindListener);
+        } else if (now) {
+            awaitClosed();
+        }
+    }
+
+    /**
+     * The JDK keeps a closed listener's socket open until its selector has selected once more: until then
+     * the system goes on accepting. A task that is due later is run after a selection; after the second
+     * such task one lies surely between.
+     */
+    private void awaitClosed() {
+        for (int i = 0; i < 2; i++) {
+            loop.schedule(() -> { }, 1, TimeUnit.MILLISECONDS).syncUninterruptibly();
         }
     }
 
--- a/fleet/src/main/java/martenlatch/fleet/rig/FleetRun.java
+++ b/fleet/src/main/java/martenlatch/fleet/rig/FleetRun.java
@@ -100,10 +100,11 @@
      */
     public FleetRun(Scenario scenario, DeployFile deploy, Path parent) throws IOException {
         this.scenario = scenario;
-        this.deploy = deploy.with(deploy.jar());
+        DeployFile built = deploy.with(deploy.jar());
+        this.deploy = scenario.sizes().peers() ? built.and("--peers") : built;
         for (Fault fault : scenario.faults()) {
             if (!fault.jar().isEmpty()) {
-                deploy.with(Path.of(fault.jar()));
+                this.deploy.with(Path.of(fault.jar()));
             }
         }
         reaper = Reaper.begin(parent);
--- a/fleet/src/main/java/martenlatch/fleet/scenario/Scenario.java
+++ b/fleet/src/main/java/martenlatch/fleet/scenario/Scenario.java
@@ -30,7 +30,7 @@
     private static final Set<String> NAMES = Set.of("name", "about", "seed", "seconds", "fleet", "load",
         "class", "endpoint", "discovery", "fault", "hold");
     private static final Set<String> DISCOVERY = Set.of("call-ms", "most-wait-ms", "ask-within-ms");
-    private static final Set<String> FLEET = Set.of("sidecars", "endpoints", "zones");
+    private static final Set<String> FLEET = Set.of("sidecars", "endpoints", "zones", "peers");
     private static final Set<String> LOAD = Set.of("rate", "skew", "notice-ms");
     private static final Set<String> CLASS = Set.of("name", "share", "effect", "body-bytes", "aim-ms",
         "deadline-ms", "retries", "worth");
@@ -78,7 +78,7 @@
         fleet.path("zones").forEach(zone -> zones.add(zone.asText()));
         Sizes sizes = new Sizes(TomlFile.whole("fleet.sidecars", fleet.path("sidecars"), 6),
             TomlFile.whole("fleet.endpoints", fleet.path("endpoints"), 12), zones.isEmpty() ? List.of("a")
-            : zones);
+            : zones, fleet.path("peers").asBoolean(false));
         long seed = TomlFile.whole("seed", file.path("seed"), 1);
         double seconds = TomlFile.number("seconds", file.path("seconds"), 10);
         return new Scenario(file.path("name").asText("unnamed"), file.path("about").asText(""), seed,
--- a/fleet/src/main/java/martenlatch/fleet/scenario/Sizes.java
+++ b/fleet/src/main/java/martenlatch/fleet/scenario/Sizes.java
@@ -4,8 +4,10 @@
 
 /**
  * How large a fleet is. Sidecars and endpoints are dealt out among the zones in turn.
+ *
+ * @param peers whether sidecars keep each other informed; in simulated time they do not yet
  */
-public record Sizes(int sidecars, int endpoints, List<String> zones) {
+public record Sizes(int sidecars, int endpoints, List<String> zones, boolean peers) {
 
     private static final int MOST_SIDECARS = 10_000;
     private static final int MOST_ENDPOINTS = 100_000;
--- a/fleet/src/main/java/martenlatch/fleet/sim/VirtualTime.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/VirtualTime.java
@@ -7,7 +7,7 @@
  * The one clock of a simulation. Tasks run in the order of their times, and of one time in that of their
  * making.
  */
-final class VirtualTime implements Time {
+public final class VirtualTime implements Time {
 
     /** Any moment will do; endpoints' start times must lie above 0. */
     private static final double START_MS = 1.7e12;
@@ -45,12 +45,12 @@
     }
 
     /** Milliseconds since the simulation began. */
-    double elapsed() {
+    public double elapsed() {
         return sinceStart;
     }
 
     /** The same, as {@link System#nanoTime()} would tell it. */
-    long nanos() {
+    public long nanos() {
         return (long) (sinceStart * NANOS_IN_MS);
     }
 
@@ -62,7 +62,7 @@
     }
 
     /** Runs until that time, or until nothing is left; returns how many tasks have run. */
-    long runUntil(double endMs) {
+    public long runUntil(double endMs) {
         long ran = 0;
         while (!tasks.isEmpty() && tasks.peek().at <= endMs) {
             Task next = tasks.poll();
--- a/fleet/src/test/java/martenlatch/fleet/rig/FleetRunTest.java
+++ b/fleet/src/test/java/martenlatch/fleet/rig/FleetRunTest.java
@@ -155,6 +155,42 @@
             verdict.spoilt().toString());
     }
 
+    /** Over UDP: a death is known to all, who stood still accuses nobody, a cut of two alone is no death. */
+    @Test
+    void sidecarsKnowWhoLives() throws Exception {
+        Scenario plan = Scenario.of(new TomlMapper().readTree(SMALL.replace("sidecars = 3",
+            "sidecars = 5\npeers = true").formatted("16") + """
+            [[fault]]
+            at = 1
+            for = 14
+            do = "link"
+            from = "sidecar 0"
+            to = "sidecar 2"
+            cut = true
+            [[fault]]
+            at = 1
+            for = 2
+            do = "pause"
+            who = "sidecar 1"
+            [[fault]]
+            at = 5
+            for = 6
+            do = "kill"
+            who = "sidecar 4"
+            """));
+        Verdict verdict = play(plan, run -> { });
+        assertEquals(List.of(), verdict.findings(), verdict.toString());
+        List<String> told = record.all(What.LOG).stream().filter(e -> e.detail().contains(": peer "))
+            .map(e -> e.who() + e.detail().substring(e.detail().indexOf(": peer "))).toList();
+        for (int i = 0; i < 4; i++) {
+            assertTrue(told.contains("n" + i + ": peer 4: SUSPECT -> FAULTY"), told.toString());
+            assertTrue(told.contains("n" + i + ": peer 4: FAULTY -> ALIVE"), told.toString());
+        }
+        // What is said after the load is over is of the end of all.
+        assertTrue(told.stream().filter(line -> line.endsWith("FAULTY"))
+            .allMatch(line -> line.contains("peer 4:")), told.toString());
+    }
+
     /** A drain is told, a link delays what is on its way: the sidecar has done nothing wrong. */
     @Test
     void aDrainBehindASlowLinkIsNoBreach() throws Exception {
--- a/sidecar/src/main/java/martenlatch/admin/Operations.java
+++ b/sidecar/src/main/java/martenlatch/admin/Operations.java
@@ -34,6 +34,9 @@
         /** Sends its clients away, or takes clients again; to do so again is no error. */
         void drain(boolean away);
 
+        /** What is believed of the other sidecars, as JSON; null where they say nothing to each other. */
+        String peers();
+
         /** Nothing new goes to these endpoints from now on, and to no others out by hand. */
         void disabled(Set<String> endpoints);
     }
@@ -151,9 +154,9 @@
 
     /** Carries out a call; the answer comes once, perhaps before this returns. */
     void call(String method, String path, byte[] body, Consumer<Reply> answer) {
-        boolean get = path.equals("/ready");
+        boolean get = path.equals("/ready") || path.equals("/peers");
         switch (path) {
-            case "/ready", "/drain", "/undrain", "/endpoints/disable", "/endpoints/enable" -> {
+            case "/ready", "/peers", "/drain", "/undrain", "/endpoints/disable", "/endpoints/enable" -> {
                 if (!method.equals(get ? "GET" : "POST")) {
                     answer.accept(Reply.no(405, path + " takes " + (get ? "GET" : "POST") + " only"));
                     return;
@@ -166,6 +169,11 @@
         }
         switch (path) {
             case "/ready" -> answer.accept(state(service.ready() ? 200 : 503));
+            case "/peers" -> {
+                String peers = service.peers();
+                answer.accept(peers == null ? Reply.no(404, "started without --peers")
+                    : new Reply(200, peers));
+            }
             case "/drain", "/undrain" -> {
                 service.drain(path.equals("/drain"));
                 complaints.say("by hand: " + path);
--- a/sidecar/src/main/java/martenlatch/cli/Main.java
+++ b/sidecar/src/main/java/martenlatch/cli/Main.java
@@ -26,7 +26,8 @@
     /** A start that takes longer is not waited for when the program is stopped. */
     private static final int START_MS = 5000;
 
-    private static final String USAGE = "usage: java -jar martenlatch.jar serve|benchlink";
+    private static final String USAGE = "usage: java -jar martenlatch.jar serve [--peers]|benchlink";
+    private static final String PEERS = "--peers";
     private static final Set<String> HELP = Set.of("--help", "-h", "help");
 
     private Main() {
@@ -35,8 +36,9 @@
     /** Runs the program until it is done; a failure is one plain line and a status above 0. */
     public static void main(String[] args) throws IOException {
         int status;
-        if (args.length == 1 && args[0].equals("serve")) {
-            status = serve(System.getenv("GW_CONFIG"), System.getenv("TMPDIR"), System.err);
+        boolean withPeers = args.length == 2 && args[1].equals(PEERS);
+        if (args.length > 0 && args[0].equals("serve") && (args.length == 1 || withPeers)) {
+            status = serve(System.getenv("GW_CONFIG"), System.getenv("TMPDIR"), withPeers, System.err);
         } else {
             try (FileInputStream in = new FileInputStream(FileDescriptor.in);
                     FileOutputStream out = new FileOutputStream(FileDescriptor.out)) {
@@ -69,7 +71,7 @@
     }
 
     /** Starts a sidecar, to run until SIGTERM; returns the exit status of a start that failed. */
-    static int serve(String configFile, String shared, PrintStream errors) {
+    static int serve(String configFile, String shared, boolean withPeers, PrintStream errors) {
         // Before all else: until there is a handler, SIGHUP ends the program.
         CompletableFuture<Sidecar> running = new CompletableFuture<>();
         SignalHandler before = Signal.handle(new Signal("HUP"),
@@ -87,7 +89,7 @@
                     + configFile);
             }
             Sidecar sidecar = Sidecar.start(Path.of(configFile), shared == null ? null : Path.of(shared),
-                errors);
+                withPeers, errors);
             running.complete(sidecar);
             return 0;
         } catch (IOException | RuntimeException e) {
--- a/sidecar/src/main/java/martenlatch/policy/Decide.java
+++ b/sidecar/src/main/java/martenlatch/policy/Decide.java
@@ -104,8 +104,9 @@
     private static final double USEFUL = 0.99;
     /** Any large odd number: its powers put the servers of each ring into another order. */
     private static final long RING_MIX = 0x9E3779B1L;
-    /** The operators get a line on trouble at most once in this time. */
     private static final double REPORT_MS = 10_000;
+    /** Four times the usual is allowed after a failed call; the last of it is for that call itself. */
+    private static final int MOST_ASK_PAUSES = 3;
     /** Name of the timer for the next request for the list. */
     private static final long ASK_TIMER = 1;
 
@@ -1138,8 +1139,7 @@
     @Override
     public void onServers(double now, ListKind kind, List<Contract.Server> entries) {
         if (kind == ListKind.FAILED) {
-            askFailures++;
-            askForList(settings.rules().askWithinMs() * Math.min(askFailures, 4));
+            askForList(settings.rules().askWithinMs() * Math.min(++askFailures, MOST_ASK_PAUSES));
             return;
         }
         askFailures = 0;
--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -28,6 +28,7 @@
 import martenlatch.membership.ListWatch;
 import martenlatch.net.LoopTime;
 import martenlatch.policy.Contract.RequestClass;
+import martenlatch.site.PeerAddresses;
 import martenlatch.site.SiteConfig;
 import martenlatch.upstream.EndpointPool;
 
@@ -60,6 +61,7 @@
     private final PrintStream log;
     private SiteConfig config;
     private Time time;
+    private Complaints complaints;
     private Operations operations;
     private AdminServer admin;
     private Time.Timer goodbye;
@@ -73,6 +75,8 @@
     private long mostDeadlineMs;
     private Exchange exchange;
     private SplittableRandom random;
+    /** Null where the sidecars say nothing to each other. */
+    private PeerHost peers;
 
     private Sidecar(Path file, PrintStream log) {
         this.file = file;
@@ -89,6 +93,16 @@
      * @param shared the folder that outlives this process, or null
      */
     public static Sidecar start(Path file, Path shared, PrintStream log) throws IOException {
+        return start(file, shared, false, log);
+    }
+
+    /**
+     * The same.
+     *
+     * @param withPeers whether it and the other sidecars keep each other informed
+     */
+    public static Sidecar start(Path file, Path shared, boolean withPeers, PrintStream log)
+            throws IOException {
         SiteConfig config = SiteConfig.read(file);
         Sidecar sidecar = new Sidecar(file, log);
         try {
@@ -97,6 +111,9 @@
                 sidecar.adminAddress = sidecar.bind(() -> sidecar.admin.listen(config.admin()),
                     config.admin());
             }
+            if (withPeers) {
+                sidecar.joinPeers(config);
+            }
             // Where another process serves, clients are divided between both, and must not meet a cold one.
             // Where none does, a client that is taken in early waits a little, and one that is refused
             // finds nobody.
@@ -117,6 +134,15 @@
         }
     }
 
+    private void joinPeers(SiteConfig told) throws IOException, InterruptedException {
+        PeerAddresses addresses = told.peerAddresses();
+        bind(() -> {
+            peers = new PeerHost(loop, time, complaints, told.settings(), addresses, told.seed());
+            return peers.listen(addresses.listen());
+        }, addresses.listen());
+        loop.execute(peers::start);
+    }
+
     private void listen(SiteConfig told) throws IOException, InterruptedException {
         // Whoever is told that this process is ready must find that others can see it serve.
         operations.serving();
@@ -139,7 +165,7 @@
         random = new SplittableRandom(told.seed());
         mindDeadlines();
         time = new LoopTime(loop);
-        Complaints complaints = new Complaints(time, log);
+        complaints = new Complaints(time, log);
         int spare = SPARE_SOCKETS + (config.admin() == null ? 0 : ADMIN_SOCKETS);
         int half = Math.max(LEAST_CONNECTIONS, (config.sockets() - openFiles() - spare) / 2);
         endpoints = new EndpointPool(loop, time, complaints,
@@ -180,6 +206,11 @@
             goodbye = away ? time.after(LAST_COMERS_MS, frontend::finish) : null;
         }
 
+        @Override
+        public String peers() {
+            return peers == null ? null : peers.json();
+        }
+
         @Override
         public void disabled(Set<String> endpoints) {
             exchange.disabled(endpoints);
@@ -223,6 +254,9 @@
         loop.execute(() -> {
             try {
                 SiteConfig next = config.again(file);
+                if (peers != null) {
+                    peers.readdress(next.peerAddresses().each());
+                }
                 log.println("martenlatch: configuration read again: discovery is at " + next.discovery()
                     + (next.settings().equals(config.settings()) ? "" : ", with new settings"));
                 config = next;
@@ -250,6 +284,9 @@
         long lastCallMs = Math.max(LINGER_MS, endMs - FINISH_MS);
         boolean hasHeir = operations.leave();
         loop.execute(() -> {
+            if (peers != null) {
+                peers.leave();
+            }
             if (hasHeir) {
                 log.println("martenlatch: another process serves at this address");
                 frontend.handOver(endMs);
@@ -304,6 +341,9 @@
         if (operations != null) {
             operations.close();
         }
+        if (peers != null) {
+            loop.execute(peers::close);
+        }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 }
--- a/sidecar/src/main/java/martenlatch/site/SiteConfig.java
+++ b/sidecar/src/main/java/martenlatch/site/SiteConfig.java
@@ -29,11 +29,17 @@
  * @param admin where operators call, or null
  * @param fields what the file holds, by {@link Shape}
  * @param sockets the descriptors that the process may hold
+ * @param peerListen as the file has it, and so {@code peers}: most installations have no use for them
  * @param idleCloseMs after how long at most an endpoint closes an idle connection
  */
 public record SiteConfig(String name, InetSocketAddress listen, InetSocketAddress admin,
         InetSocketAddress discovery, long seed, int sockets, double idleCloseMs, RegistryList.Names names,
-        ServerList known, Settings settings, Set<String> fields) {
+        ServerList known, Settings settings, Set<String> fields, Object peerListen, Object peers) {
+
+    /** How to reach the other sidecars; what is missing or bad is an exception, here and not at the start. */
+    public PeerAddresses peerAddresses() {
+        return PeerAddresses.of(peerListen, peers, settings);
+    }
 
     /** Reads the file; anything missing or bad is an exception whose message names field and value. */
     public static SiteConfig read(Path file) throws IOException {
@@ -86,7 +92,7 @@
             positive("settings.limits.idle-close-ms", limits.get("idle-close-ms")), names,
             RegistryList.of(object("known", config.get("known")), names),
             checked(SettingsReader.settings(settings)),
-            Shape.of(shown));
+            Shape.of(shown), config.get("peer_listen"), config.get("peers"));
     }
 
     /** Requests name their class: each must have a name of its own. */
--- a/sidecar/src/test/java/martenlatch/RoomsTest.java
+++ b/sidecar/src/test/java/martenlatch/RoomsTest.java
@@ -27,6 +27,7 @@
             .layer("net").definedBy("martenlatch.net..")
             .layer("host").definedBy("martenlatch.host..")
             .layer("config").definedBy("martenlatch.config..")
+            .layer("peers").definedBy("martenlatch.peers..")
             .layer("policy").definedBy("martenlatch.policy..")
             .whereLayer("cli").mayNotBeAccessedByAnyLayer()
             .whereLayer("sidecar").mayOnlyBeAccessedByLayers("cli")
@@ -40,6 +41,8 @@
             .whereLayer("net").mayOnlyBeAccessedByLayers("sidecar", "admin", "http", "membership", "upstream")
             .whereLayer("host").mayOnlyBeAccessedByLayers("sidecar", "admin", "site", "http", "membership",
                 "upstream", "net")
+            .whereLayer("peers").mayOnlyBeAccessedByLayers("sidecar")
+            .whereLayer("peers").mayNotAccessAnyLayer()
             .whereLayer("config").mayOnlyBeAccessedByLayers("sidecar", "admin", "site", "membership",
                 "benchlink")
             .check(program);
--- a/sidecar/src/test/java/martenlatch/policy/DecideTest.java
+++ b/sidecar/src/test/java/martenlatch/policy/DecideTest.java
@@ -437,6 +437,17 @@
         assertEquals(1, f.host.timers.size(), "it asks again later");
     }
 
+    /** Four times the usual is allowed from a call that failed, and that call may have taken some seconds. */
+    @Test
+    void aDiscoveryThatGoesOnFailingIsAskedInTime() {
+        Fixture f = Fixture.of(1, 0, 1).list(Fixture.servers(2));
+        for (int i = 0; i < 500; i++) {
+            f.balancer.onServers(f.now, ListKind.FAILED, List.of());
+        }
+        assertTrue(f.host.timers.stream().allMatch(ms -> ms <= 30_000), "later than 40 s less a call");
+        assertTrue(f.host.timers.stream().anyMatch(ms -> ms > 25_000));
+    }
+
     // ---- connections ----
 
     /** So many calls on each of three servers: all are answered but the last on the lowest-ranked one. */
--- a/sidecar/src/test/java/martenlatch/sidecar/Fake.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/Fake.java
@@ -24,11 +24,20 @@
     volatile Script script;
 
     Fake(Script script) throws IOException {
+        this();
         this.script = script;
-        listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         start(this::accept);
     }
 
+    private Fake() throws IOException {
+        listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    }
+
+    /** A place that listens, for whoever takes the connections there himself. */
+    static Fake place() throws IOException {
+        return new Fake();
+    }
+
     static Fake answering(int status, String headers, String body) throws IOException {
         return new Fake((wire, request) -> answer(wire, status, headers, body));
     }
--- a/sidecar/src/test/java/martenlatch/sidecar/LongBodiesTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/LongBodiesTest.java
@@ -10,7 +10,6 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -565,11 +564,9 @@
         Eater(LinkedBlockingQueue<byte[]> received, int pauseMs) throws IOException {
             this.received = received;
             this.pauseMs = pauseMs;
-            // The rig takes a place from a fake; this one stands in for it.
-            place = Fake.answering(200, "", "");
-            place.close();
-            listener = new ServerSocket(place.listener.getLocalPort(), 50,
-                InetAddress.getByName("127.0.0.1"));
+            // Closed and opened again, its port might be another's by then.
+            place = Fake.place();
+            listener = place.listener;
             start(this::accept);
         }
 
