--- a/sidecar/src/test/java/martenlatch/sidecar/OperationsTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/OperationsTest.java
@@ -7,6 +7,10 @@
 
 import java.io.EOFException;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -102,6 +106,40 @@
         assertEquals(503, rig().start().operate("GET /ready", "").status());
     }
 
+    /** Garbage from a peer is counted and changes nothing; how many peers there are stays. */
+    @Test
+    void whatIsBelievedOfPeersIsTold() throws Exception {
+        assertEquals(404, rig(good()).start().operate("GET /peers", "").status());
+        try (DatagramSocket peer = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0))) {
+            peer.setSoTimeout(DEADLINE_MS);
+            Rig rig = rig(good());
+            rig.peers = List.of("127.0.0.1:1", "127.0.0.1:" + peer.getLocalPort());
+            rig.start();
+            DatagramPacket ping = new DatagramPacket(new byte[512], 512);
+            peer.receive(ping);
+            assertTrue(ping.getLength() <= 256 && ping.getData()[0] == 'M', "a message of ours");
+            peer.send(new DatagramPacket(new byte[300], 300, ping.getSocketAddress()));
+            Rig.await("it is counted", () -> peers(rig).contains("malformed 1,"));
+            assertTrue(peers(rig).startsWith("{\"told\":2,\"at_least\":1,\"at_most\":2,"), peers(rig));
+            Files.writeString(rig.configFile, rig.config().replace("\"127.0.0.1:1\",", ""));
+            rig.sidecar.reload();
+            Rig.await("the file is refused", () -> rig.logged().contains("the configuration stays as it was: "
+                + "field peers must keep its 2 addresses in service but has 1"));
+        }
+        Rig bad = rig(good());
+        bad.peers = List.of("here");
+        assertEquals("field peers[] is not usable: here",
+            assertThrows(IllegalArgumentException.class, bad::start).getMessage());
+    }
+
+    private static String peers(Rig rig) {
+        try {
+            return rig.operate("GET /peers", "").body();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     // ---- endpoints out by hand ----
 
     /**
--- a/sidecar/src/test/java/martenlatch/sidecar/Rig.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/Rig.java
@@ -31,6 +31,8 @@
     Path shared;
     String admin;
     String listen = "127.0.0.1:0";
+    /** The sidecars' addresses by number, this one's first; none where it is alone. */
+    List<String> peers = List.of();
     private int requests;
 
     Rig(Fake... endpoints) throws IOException {
@@ -66,14 +68,17 @@
             "parallel-tries":true,"retry-after":false,"try-limit":3},
             "rules":{"cold-share":0.5,"cold-ms":1000,"tip-multiple":3,"fall-ms":1000,"drain-grace-ms":500,
             "ask-within-ms":%d}}}""".formatted(listen,
-                admin == null ? "" : "\"admin\":\"" + admin + "\",", discovery.address(), sockets,
+                (admin == null ? "" : "\"admin\":\"" + admin + "\",")
+                + (peers.isEmpty() ? "" : "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\""
+                + String.join("\",\"", peers) + "\"],"), discovery.address(), sockets,
                 list(1, true,
                 lines.toArray(String[]::new)), aimMs, aimMs, idleCloseMs, askWithinMs);
     }
 
     Rig start() throws IOException {
         configFile = Files.writeString(Files.createTempFile("config", ".json"), config());
-        sidecar = Sidecar.start(configFile, shared, new PrintStream(log, true, StandardCharsets.UTF_8));
+        sidecar = Sidecar.start(configFile, shared, !peers.isEmpty(),
+            new PrintStream(log, true, StandardCharsets.UTF_8));
         return this;
     }
 
