Peers: comparing counts what it compared, and whoever knows better says so; cuts with processes

Need, found on reading the change again: Peers.compared counted four parts as equal for an answer to a ping with one, and took an answer's news for a difference, so catching up ended too early or never; fault() had a rumour that was not believed (massed) passed on as news of a life, again at each hearing; who knew better than an answer kept it to himself.

Change: Peers.compare (parts by probe, newer lives said in return, to answers only); tell only what is believed; dead fields out (Member.sinceMs, wasAway, two getters). FleetRunTest.oneSidedCutsAndSplitsAreNoDeaths: six processes, one deaf for 7 s, two zones apart for 7 s; without the cut watch it names five and more called faulty (one run); the deaf half could not be made to fail.

--- a/fleet/src/test/java/martenlatch/fleet/rig/FleetRunTest.java
+++ b/fleet/src/test/java/martenlatch/fleet/rig/FleetRunTest.java
@@ -191,6 +191,33 @@
             .allMatch(line -> line.contains("peer 4:")), told.toString());
     }
 
+    /** Who hears nobody but is heard, and the other half of a split, are not dead: nobody calls them so. */
+    @Test
+    void oneSidedCutsAndSplitsAreNoDeaths() throws Exception {
+        Scenario plan = Scenario.of(new TomlMapper().readTree(SMALL.replace("sidecars = 3",
+            "sidecars = 6\npeers = true").formatted("20") + """
+            [[fault]]
+            at = 2
+            for = 7
+            do = "link"
+            from = "sidecars"
+            to = "sidecar 2"
+            cut = true
+            direction = "onwards"
+            [[fault]]
+            at = 12
+            for = 7
+            do = "link"
+            from = "sidecars zone north"
+            to = "sidecars zone east"
+            cut = true
+            """));
+        Verdict verdict = play(plan, run -> { });
+        assertEquals(List.of(), verdict.findings(), verdict.toString());
+        assertEquals(List.of(), record.all(What.LOG).stream().map(e -> e.who() + " " + e.detail())
+            .filter(line -> line.contains(": peer ") && line.endsWith("FAULTY")).toList());
+    }
+
     /** A drain is told, a link delays what is on its way: the sidecar has done nothing wrong. */
     @Test
     void aDrainBehindASlowLinkIsNoBreach() throws Exception {
--- a/sidecar/src/main/java/martenlatch/peers/Counts.java
+++ b/sidecar/src/main/java/martenlatch/peers/Counts.java
@@ -37,12 +37,4 @@
             + ", probes " + probes + " (" + failedProbes + " failed), accused " + accused + ", called faulty "
             + calledFaulty;
     }
-
-    public long sentBytes() {
-        return sentBytes;
-    }
-
-    public long sent() {
-        return sent;
-    }
 }
--- a/sidecar/src/main/java/martenlatch/peers/Member.java
+++ b/sidecar/src/main/java/martenlatch/peers/Member.java
@@ -35,7 +35,6 @@
     /** Of the life that is known; 0 before any is. */
     long incarnation;
     int zone = -1;
-    double sinceMs;
     /** When we last had a message of this life from it. */
     double heardMs = Double.NEGATIVE_INFINITY;
     /** When a suspicion last came to nothing, and when we last said that we had heard it. */
--- a/sidecar/src/main/java/martenlatch/peers/MessageCodec.java
+++ b/sidecar/src/main/java/martenlatch/peers/MessageCodec.java
@@ -121,7 +121,7 @@
             return null;
         }
         int tier = in.get() & 0xff;
-        int zone = in.get() & 0xff;
+        int zone = Math.min(MOST_ZONE, in.get() & 0xff);
         int from = in.getShort() & 0xffff;
         long incarnation = in.getInt() & 0xffffffffL;
         int sequence = in.getShort() & 0xffff;
--- a/sidecar/src/main/java/martenlatch/peers/Peers.java
+++ b/sidecar/src/main/java/martenlatch/peers/Peers.java
@@ -111,7 +111,6 @@
     /** When the next tick is due; NaN before the start. */
     private double dueMs = Double.NaN;
     private double awayUntil = Double.NEGATIVE_INFINITY;
-    private boolean wasAway;
     private double heardAnyMs;
     private double nextCry;
     private double lastRefute = Double.NEGATIVE_INFINITY;
@@ -217,13 +216,7 @@
             counts.heard++;
             heardAnyMs = now;
             heard(now, peer, message);
-            int news = 0;
-            for (Update update : message.updates()) {
-                news += learn(now, update) ? 1 : 0;
-            }
-            if (news >= BEHIND) {
-                behind(now);
-            }
+            compare(now, peer, message);
             message.accusations().forEach(accusation -> accused(now, accusation));
             react(now, peer, message);
         }
@@ -297,7 +290,6 @@
         dueMs = now + TICK_MS;
         counts.away++;
         awayUntil = now + settings.periodMs();
-        wasAway = true;
         probes.clear();
         relays.clear();
         cuts.forget();
@@ -410,7 +402,7 @@
 
     private void move(double now, Member peer, PeerState next) {
         PeerState before = peer.state;
-        roster.move(peer, next, now);
+        roster.move(peer, next);
         if (next == PeerState.FAULTY && before != next) {
             cuts.calledFaulty(now);
         }
@@ -419,7 +411,33 @@
         }
     }
 
-    /** Whether it was new. */
+    /** Learns what is said, and says in return what the other does not know yet. */
+    private void compare(double now, Member peer, Message message) {
+        int lives = 0;
+        List<Update> newer = new ArrayList<>();
+        for (Update update : message.updates()) {
+            if (learn(now, update)) {
+                lives++;
+            } else if (update.number() < roster.told() && update.number() != settings.self()
+                    && update.incarnation() < roster.get(update.number()).incarnation) {
+                newer.add(roster.get(update.number()).asUpdate());
+            }
+        }
+        if (lives >= BEHIND) {
+            catchUpUntil = Math.max(catchUpUntil, now + MOST_CATCH_UP_MS / 2);
+            cleanParts = 0;
+        }
+        Probe probe = message.kind() == Kind.ACK ? probes.get(message.sequence()) : null;
+        if (probe != null && probe.subject == peer.number) {
+            cleanParts = lives + newer.size() == 0 ? cleanParts + probe.parts : 0;
+        }
+        // Only answers are answered so: two who know otherwise would go on for ever.
+        if (message.kind() == Kind.ACK && !newer.isEmpty() && voice.mayTell(now)) {
+            send(now, peer.number, Kind.GOSSIP, 0, peer.number, newer, List.of(), List.of(), false);
+        }
+    }
+
+    /** Whether it was of a life that we did not know. */
     private boolean learn(double now, Update update) {
         if (update.number() >= roster.told()) {
             counts.malformed++;
@@ -444,7 +462,9 @@
                 case LEFT -> move(now, peer, PeerState.LEFT);
                 default -> move(now, peer, PeerState.ALIVE);
             }
-            tell(peer, first);
+            if (!peer.isIn(PeerState.SUSPECT)) {
+                tell(peer, first);
+            }
             return true;
         }
         if (update.incarnation() == peer.incarnation) {
@@ -469,7 +489,9 @@
                     sayHeard(now, peer);
                 } else if (peer.mayLive()) {
                     fault(now, peer);
-                    tell(peer);
+                    if (peer.isIn(PeerState.FAULTY)) {
+                        tell(peer);
+                    }
                 }
             }
             case LEFT -> {
@@ -606,7 +628,6 @@
                 acquit(now, subject);
             }
         }
-        compared(message);
     }
 
     // ---- probes ----
@@ -839,21 +860,13 @@
         }
         Probe probe = new Probe(to, nextSequence(), now, false, counts.heard);
         probe.pings = Patience.PINGS;
+        probe.parts = digests.size();
         if (probes.size() < MOST_PROBES && send(now, to, Kind.PING, probe.sequence, to, List.of(), List.of(),
                 digests, false)) {
             probes.put(probe.sequence, probe);
         }
     }
 
-    private void behind(double now) {
-        catchUpUntil = Math.max(catchUpUntil, now + MOST_CATCH_UP_MS / 2);
-        cleanParts = 0;
-    }
-
-    private void compared(Message answer) {
-        cleanParts = answer.updates().isEmpty() ? cleanParts + Math.min(DIGESTS, roster.parts()) : 0;
-    }
-
     private boolean send(double now, int to, Kind kind, int of, int target, List<Update> said,
             List<Accusation> against, List<Digest> digests, boolean withNews) {
         return voice.say(now, to, new Message(kind, settings.tier(), settings.zone(), settings.self(),
@@ -861,7 +874,7 @@
     }
 
     private int flags(double now) {
-        return (leaving ? Message.LEAVING : 0) | (wasAway && now < awayUntil ? Message.WAS_AWAY : 0)
+        return (leaving ? Message.LEAVING : 0) | (now < awayUntil ? Message.WAS_AWAY : 0)
             | (isCutOff(now) ? Message.DEAF : 0);
     }
 }
--- a/sidecar/src/main/java/martenlatch/peers/Roster.java
+++ b/sidecar/src/main/java/martenlatch/peers/Roster.java
@@ -47,10 +47,9 @@
     }
 
     /** A member is in another state from now on. */
-    void move(Member member, PeerState next, double nowMs) {
+    void move(Member member, PeerState next) {
         alive += (next == PeerState.ALIVE ? 1 : 0) - (member.state == PeerState.ALIVE ? 1 : 0);
         member.state = next;
-        member.sinceMs = nowMs;
         if (next == PeerState.SUSPECT) {
             suspects.add(member);
         } else {
--- a/sidecar/src/test/java/martenlatch/sidecar/Fake.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/Fake.java
@@ -22,11 +22,12 @@
     final AtomicInteger connections = new AtomicInteger();
     final AtomicInteger open = new AtomicInteger();
     volatile Script script;
+    private Thread acceptor;
 
     Fake(Script script) throws IOException {
         this();
         this.script = script;
-        start(this::accept);
+        acceptor = start(this::accept);
     }
 
     private Fake() throws IOException {
@@ -80,14 +81,23 @@
         }
     }
 
-    private static void start(Runnable task) {
+    private static Thread start(Runnable task) {
         Thread thread = new Thread(task, "fake");
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
+    /** While a thread waits on it the system keeps a closed listener, and takes one more connection. */
     @Override
     public void close() throws IOException {
         listener.close();
+        try {
+            if (acceptor != null) {
+                acceptor.join(Rig.PATIENCE_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
