Peers: whoever hears an accused member tells its accusers at once

Change: Peers.sayHeard sends the word to the accusers that are known, besides the news; no more often than before.

--- a/sidecar/src/main/java/martenlatch/peers/Member.java
+++ b/sidecar/src/main/java/martenlatch/peers/Member.java
@@ -1,5 +1,6 @@
 package martenlatch.peers;
 
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -25,8 +26,9 @@
             return accusers.size() < MOST_ACCUSERS && accusers.add(accuser);
         }
 
-        int accusers() {
-            return accusers.size();
+        /** Those known of, by number. */
+        List<Integer> accusers() {
+            return List.copyOf(accusers);
         }
     }
 
--- a/sidecar/src/main/java/martenlatch/peers/Peers.java
+++ b/sidecar/src/main/java/martenlatch/peers/Peers.java
@@ -367,22 +367,31 @@
             acquit(now, peer);
         } else if (message.says(Message.DEAF)) {
             // It can't answer anybody: those who try it will want to know.
-            sayHeard(now, peer);
+            sayHeard(now, peer, List.of());
         }
     }
 
     /** Somebody has heard it. */
     private void acquit(double now, Member peer) {
+        List<Integer> accusers = peer.suspicion.accusers();
         peer.clearedMs = now;
         move(now, peer, PeerState.ALIVE);
         news.acquit(peer.number);
-        sayHeard(now, peer);
+        sayHeard(now, peer, accusers);
     }
 
-    private void sayHeard(double now, Member peer) {
-        if (now - peer.saidMs >= settings.periodMs() / 2) {
-            peer.saidMs = now;
-            news.put(new Update(peer.number, Word.HEARD, peer.zone, peer.incarnation));
+    /** Those who accuse it are told at once: it is they who would call it faulty. */
+    private void sayHeard(double now, Member peer, List<Integer> accusers) {
+        if (now - peer.saidMs < settings.periodMs() / 2) {
+            return;
+        }
+        peer.saidMs = now;
+        Update heard = new Update(peer.number, Word.HEARD, peer.zone, peer.incarnation);
+        news.put(heard);
+        for (int accuser : accusers) {
+            if (accuser != settings.self() && accuser != peer.number) {
+                send(now, accuser, Kind.GOSSIP, 0, accuser, List.of(heard), List.of(), List.of(), false);
+            }
         }
     }
 
@@ -486,7 +495,7 @@
             }
             case FAULTY -> {
                 if (peer.mayLive() && now - peer.heardMs <= FRESH_MS) {
-                    sayHeard(now, peer);
+                    sayHeard(now, peer, List.of());
                 } else if (peer.mayLive()) {
                     fault(now, peer);
                     if (peer.isIn(PeerState.FAULTY)) {
@@ -543,7 +552,7 @@
             return;
         }
         if (now - peer.heardMs <= FRESH_MS) {
-            sayHeard(now, peer);
+            sayHeard(now, peer, List.of(accusation.accuser()));
         } else if (now - peer.clearedMs > LEAST_SUSPICION_MS) {
             suspect(now, peer);
             if (peer.suspicion.add(accusation.accuser())) {
@@ -774,7 +783,7 @@
     /** Of a cut it is enough that somebody was accused at all. */
     private void accuse(double now, Accusation accusation) {
         boolean massed = isMassed(now);
-        if (!massed || roster.get(accusation.number()).suspicion.accusers() == 1) {
+        if (!massed || roster.get(accusation.number()).suspicion.accusers().size() == 1) {
             news.put(accusation, massed);
         }
     }
@@ -821,7 +830,7 @@
 
     /** The more have found the same, the shorter. */
     private static double lasts(double least, Member peer) {
-        double agree = Math.min(AGREEING, peer.suspicion.accusers() - 1);
+        double agree = Math.min(AGREEING, peer.suspicion.accusers().size() - 1);
         return least * (ALONE_TIMES - (ALONE_TIMES - 1) * Math.log(agree + 1) / Math.log(AGREEING + 1));
     }
 
