A silent watch is opened anew in time; nothing is sent for a client that left before

Further, found by reading: an attempt whose connection came up after its client had left was still written where the site does not allow cancelling (Exchange.clientGone); with eight requests in hand reading was off and the client's end not seen (Frontend.mindReading); an attempt that waited for its connection was written to an endpoint told to drain meanwhile (EndpointPool); half an answer of discovery was waited for as long as a whole one; no descriptor for a connection ended as 'may have run' on a foreign thread (EndpointPool, DiscoveryClient); a request half sent at the last call was cut off (Frontend.finish); where lists are pushed clients were taken before the agent's word (Sidecar.start). Change: calls wait one to two times what the site gives for asking, at most 20 s, at random (agents: 2 s), an end of a wait is owed within 1 s, silence opens the watch anew at once on a new connection, an answer that has begun has 1 s; the first pause after a failed call is half of what is given. Unwritten attempts are withdrawn as IGNORED and go elsewhere where their server drains. What comes beyond eight in hand is held by the guard, 16 KiB at most.

--- a/extproc/src/main/java/martenlatch/extproc/ExtProcServer.java
+++ b/extproc/src/main/java/martenlatch/extproc/ExtProcServer.java
@@ -13,6 +13,7 @@
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import martenlatch.front.extproc.EndpointAddresses;
@@ -23,6 +24,7 @@
 import martenlatch.host.Time;
 import martenlatch.host.Witness;
 import martenlatch.membership.DiscoveryClient;
+import martenlatch.membership.ListWatch;
 import martenlatch.net.LoopTime;
 import martenlatch.policy.Contract.RequestClass;
 import martenlatch.site.SiteConfig;
@@ -82,7 +84,9 @@
         }
         Complaints complaints = new Complaints(time, log);
         EndpointAddresses addresses = new EndpointAddresses();
-        discovery = new DiscoveryClient(loop, time, config.discovery(), config.names(), complaints);
+        SplittableRandom random = new SplittableRandom(config.seed());
+        discovery = new DiscoveryClient(loop, time, config.discovery(), config.names(), complaints,
+            () -> ListWatch.waitMs(config.settings(), random));
         exchange = new Exchange(time, complaints, addresses, discovery::watch, config.settings(),
             config.seed(), config.known(), Witness.NONE);
         discovery.listen(exchange, config.known().version());
--- a/extproc/src/main/java/martenlatch/front/extproc/EndpointAddresses.java
+++ b/extproc/src/main/java/martenlatch/front/extproc/EndpointAddresses.java
@@ -40,6 +40,12 @@
         return ready.get(server);
     }
 
+    @Override
+    public void withdraw() {
+        // What proxies were told to send is theirs: they say whether they have.
+        return;
+    }
+
     @Override
     public void disconnect(String server) {
         // The proxies' connections are their own; they close them when they are idle.
--- a/extproc/src/main/java/martenlatch/front/extproc/ProxyCall.java
+++ b/extproc/src/main/java/martenlatch/front/extproc/ProxyCall.java
@@ -43,6 +43,15 @@
             call.givenUp(this);
             return handedOut;
         }
+
+        @Override
+        public boolean withdraw() {
+            if (handedOut) {
+                return false;
+            }
+            call.givenUp(this);
+            return true;
+        }
     }
 
     private static final byte[] NO_BODY = {};
--- a/extproc/src/test/java/martenlatch/extproc/BothModesTest.java
+++ b/extproc/src/test/java/martenlatch/extproc/BothModesTest.java
@@ -96,6 +96,11 @@
                     ? new ServerList.Entry(entry.server(), entries.get(1).address()) : entry).toList()));
         }
 
+        @Override
+        public void withdraw() {
+            table.withdraw();
+        }
+
         @Override
         public void disconnect(String server) {
             table.disconnect(server);
--- a/fleet/src/main/java/martenlatch/fleet/sim/SimDiscovery.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimDiscovery.java
@@ -68,17 +68,18 @@
     }
 
     /** A call comes, and is heard in its turn; a caller that is gone stays until it would be answered. */
-    void ask(String viewer, long index, Caller caller) {
+    void ask(String viewer, long index, long waitMs, Caller caller) {
         CallQueue.Turn turn = queue.come(time.elapsed());
         if (turn.atMs() <= time.elapsed()) {
-            hear(viewer, index, caller, turn.refused());
+            hear(viewer, index, waitMs, caller, turn.refused());
         } else {
-            time.after(turn.atMs() - time.elapsed(), () -> hear(viewer, index, caller, turn.refused()));
+            time.after(turn.atMs() - time.elapsed(),
+                () -> hear(viewer, index, waitMs, caller, turn.refused()));
         }
     }
 
-    /** Where there is nothing newer than {@code index} the call waits. */
-    private void hear(String viewer, long index, Caller caller, boolean refused) {
+    /** Where there is nothing newer than {@code index} the call waits, and is told so at its wait's end. */
+    private void hear(String viewer, long index, long waitMs, Caller caller, boolean refused) {
         history.tell(What.LIST_CALL, viewer, "discovery", "", refused ? "refused" : "answered");
         if (refused) {
             caller.refused();
@@ -90,6 +91,11 @@
         } else {
             leave(viewer);
             watches.add(watch);
+            time.after(waitMs, () -> {
+                if (watches.remove(watch)) {
+                    answer(watch);
+                }
+            });
         }
     }
 
--- a/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
@@ -123,7 +123,7 @@
         ServerList known = discovery.list();
         Time own = new OwnTime();
         Complaints complaints = new Complaints(time, new PrintStream(OutputStream.nullOutputStream()));
-        watch = new ListWatch(own, new Line(), complaints);
+        watch = new ListWatch(own, new Line(), complaints, () -> ListWatch.waitMs(settings, moves));
         exchange = new Exchange(own, complaints, new Table(), watch::watch, settings, seed * 31 + life,
             known, Witness.NONE);
         watch.listen(exchange, known.version());
@@ -248,6 +248,11 @@
             return;
         }
 
+        @Override
+        public void withdraw() {
+            return;
+        }
+
         @Override
         public void disconnect(String server) {
             Way way = ways.get(server);
@@ -273,6 +278,15 @@
             over = true;
             return written;
         }
+
+        @Override
+        public boolean withdraw() {
+            if (written || over) {
+                return false;
+            }
+            over = true;
+            return true;
+        }
     }
 
     private Carrier.Attempt send(String id, String server, Carrier.Ending ending) {
@@ -337,7 +351,7 @@
         public void call(ListWatch.Call call) {
             int mine = life;
             long index = call.index().orElse(-1);
-            toDiscovery.send(() -> discovery.ask(name, index, new SimDiscovery.Caller() {
+            toDiscovery.send(() -> discovery.ask(name, index, call.waitMs(), new SimDiscovery.Caller() {
                 @Override
                 public void answered(ServerList list) {
                     fromDiscovery.send(() -> enter(mine, () -> watch.answered(call.number(), list)));
--- a/sidecar/src/main/java/martenlatch/front/http/ClientGuard.java
+++ b/sidecar/src/main/java/martenlatch/front/http/ClientGuard.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.util.concurrent.Future;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -35,7 +37,16 @@
     private static final int BODY_LINGER_MS = 2000;
     private static final long MOST_BODY_BYTES = RequestReader.MOST_BODY;
 
+    /**
+     * What comes while nothing more is taken waits here, and not with the system: behind unread bytes nobody
+     * sees that the client has left. Who sends more than this is far ahead of its answers.
+     */
+    private static final int MOST_HELD = 16 * 1024;
+
     private final SocketChannel channel;
+    private final Deque<ByteBuf> held = new ArrayDeque<>();
+    private int heldBytes;
+    private boolean holding;
     /** The clock that stands, and when it is due; what is awaited, until when, and how long that was. */
     private Future<?> limit;
     private long limitNanos;
@@ -46,6 +57,8 @@
     private boolean inBody;
     private boolean waiting;
     private boolean deaf;
+    /** The last answer has been handed over. */
+    private boolean ended;
     /** A body was still coming when its connection was ended. */
     private boolean cutShort;
     private long unheard;
@@ -109,13 +122,13 @@
         return behind <= MOST_BEHIND;
     }
 
-
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) {
         int size = ((ByteBuf) bytes).readableBytes();
         if (deaf) {
-            unheard += size;
             ((ByteBuf) bytes).release();
+            // Before the last answer is written a flood is read for the end behind it, and nothing is kept.
+            unheard += ended ? size : 0;
             if (unheard > (cutShort ? MOST_BODY_BYTES : MOST_LINGERING_BYTES)) {
                 channel.close();
             }
@@ -129,9 +142,49 @@
             }
         }
         behind -= size;
+        if (holding || !held.isEmpty()) {
+            held.add((ByteBuf) bytes);
+            heldBytes += size;
+            holding &= heldBytes <= MOST_HELD;
+            if (!holding) {
+                passHeld(ctx);
+            }
+            return;
+        }
         ctx.fireChannelRead(bytes);
     }
 
+    /** Takes nothing more for the time being, or takes again what has come. */
+    void hold(boolean now) {
+        if (holding && !now && !held.isEmpty()) {
+            // Not from here: it may be called while what came before is being taken.
+            channel.eventLoop().execute(() -> {
+                if (!holding && channel.isActive()) {
+                    passHeld(channel.pipeline().context(this));
+                }
+            });
+        }
+        holding = now;
+    }
+
+    private void passHeld(ChannelHandlerContext ctx) {
+        for (ByteBuf bytes = held.poll(); bytes != null; bytes = holding ? null : held.poll()) {
+            heldBytes -= bytes.readableBytes();
+            if (deaf) {
+                bytes.release();
+            } else {
+                ctx.fireChannelRead(bytes);
+            }
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    private void dropHeld() {
+        held.forEach(ByteBuf::release);
+        held.clear();
+        heldBytes = 0;
+    }
+
     /** A head is whole: its body is awaited by another measure. */
     void headTaken() {
         inBody = true;
@@ -162,6 +215,7 @@
     /** Nothing that comes from now on is listened to. */
     void goDeaf() {
         deaf = true;
+        dropHeld();
     }
 
     /**
@@ -171,6 +225,7 @@
      */
     void endAfter(ChannelFuture lastAnswer, boolean inBody) {
         goDeaf();
+        ended = true;
         cutShort = inBody;
         channel.config().setAutoRead(true);
         await(channel.pipeline().context(this), HEAD_MS);
@@ -187,6 +242,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         awaited = false;
+        dropHeld();
         if (limit != null) {
             limit.cancel(false);
             limit = null;
--- a/sidecar/src/main/java/martenlatch/front/http/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/front/http/Frontend.java
@@ -57,6 +57,8 @@
     private static final int MOST_AHEAD = 8;
     /** Connections above the bound that are still taken in, to refuse what they ask in good order. */
     public static final int OVERFLOW = 16;
+    /** After the last call a request that has begun to come may take so long for the rest of it. */
+    private static final double LAST_BYTES_MS = 300;
     private static final double OVERFLOW_COOL_DOWN_MS = 1000;
     /** Headers that concern one connection only. */
     private static final List<CharSequence> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
@@ -175,12 +177,18 @@
 
     /**
      * From now on each answer is the last on its connection; those that wait for none are let go. Who is in
-     * the middle of asking is not, unless this sidecar stops and no other is there: then a restart waits
-     * for it.
+     * the middle of asking is not, but where this sidecar stops and no other is there a restart waits for it,
+     * and not for long: what has not become whole by then was never taken.
      */
     public void finish() {
         finishing = true;
-        boolean patient = !stopping || hasHeir;
+        letGo(true);
+        if (stopping && !hasHeir) {
+            time.after(LAST_BYTES_MS, () -> letGo(false));
+        }
+    }
+
+    private void letGo(boolean patient) {
         for (Connection connection : List.copyOf(connections)) {
             if (connection.replies.isEmpty() && !connection.ending
                     && !(patient && connection.guard.isInRequest())) {
@@ -341,9 +349,13 @@
             }
         }
 
+        /**
+         * What comes is read in any case, for the end behind it; only a body that is passed on has to wait
+         * where it is, and who stops reading in its middle has sent no request yet.
+         */
         private void mindReading() {
-            channel.config().setAutoRead(ending
-                || !bodyPaused && replies.size() < MOST_AHEAD && channel.isWritable());
+            guard.hold(!ending && (replies.size() >= MOST_AHEAD || !channel.isWritable()));
+            channel.config().setAutoRead(ending || !bodyPaused);
         }
 
         @Override
--- a/sidecar/src/main/java/martenlatch/host/Carrier.java
+++ b/sidecar/src/main/java/martenlatch/host/Carrier.java
@@ -9,6 +9,11 @@
     interface Attempt {
         /** Stops waiting; true if the attempt may have run, or may yet. */
         boolean giveUp();
+
+        /**
+         * Ends the attempt if nothing of it has been sent yet; true if so, and then nothing of it will be.
+         */
+        boolean withdraw();
     }
 
     /** How an attempt ended; it is told once, and never after {@link Attempt#giveUp}. */
--- a/sidecar/src/main/java/martenlatch/host/Exchange.java
+++ b/sidecar/src/main/java/martenlatch/host/Exchange.java
@@ -209,9 +209,14 @@
         if (open != null && !open.concluded) {
             conclude(open, Witness.Final.GONE, 0);
             raise(open, now -> module.onClientGone(now, id));
-            if (open.coming) {
-                // What has not come whole never will: no attempt of it can run any more.
-                List.copyOf(open.tries).forEach(made -> giveUp(open, made, Outcome.CANCELED));
+            for (Try made : List.copyOf(open.tries)) {
+                if (open.coming) {
+                    // What has not come whole never will: no attempt of it can run any more.
+                    giveUp(open, made, Outcome.CANCELED);
+                } else if (!made.ended && made.attempt.withdraw()) {
+                    // Whether what was sent may be called off is the site's to say; this was not sent.
+                    end(open, made, Outcome.IGNORED);
+                }
             }
         }
     }
@@ -239,6 +244,7 @@
         listed |= !list.entries().isEmpty();
         endpoints.update(list);
         raise(null, now -> module.onServers(now, kind, list.servers()));
+        endpoints.withdraw();
     }
 
     @Override
--- a/sidecar/src/main/java/martenlatch/membership/DiscoveryClient.java
+++ b/sidecar/src/main/java/martenlatch/membership/DiscoveryClient.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -23,6 +24,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.function.DoubleSupplier;
 import martenlatch.host.Complaints;
 import martenlatch.host.ServerList;
 import martenlatch.host.Time;
@@ -33,6 +35,7 @@
 
     private static final int MOST_BODY = 4 * 1024 * 1024;
 
+    private final EventLoop loop;
     private final RegistryList.Names names;
     private final ListWatch watch;
     private final Bootstrap bootstrap;
@@ -42,10 +45,11 @@
     private ListWatch.Call out;
 
     public DiscoveryClient(EventLoop loop, Time time, InetSocketAddress address, RegistryList.Names names,
-            Complaints complaints) {
+            Complaints complaints, DoubleSupplier wait) {
+        this.loop = loop;
         this.address = address;
         this.names = names;
-        watch = new ListWatch(time, this, complaints);
+        watch = new ListWatch(time, this, complaints, wait);
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .option(ChannelOption.TCP_NODELAY, true)
@@ -53,8 +57,8 @@
             .handler(new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel fresh) {
-                    fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY),
-                        new Calls());
+                    fresh.pipeline().addLast(new Start(), new HttpClientCodec(),
+                        new HttpObjectAggregator(MOST_BODY), new Calls());
                 }
             });
     }
@@ -90,6 +94,15 @@
             return;
         }
         ChannelFuture connecting = bootstrap.connect(address);
+        if (connecting.isDone() && !connecting.isSuccess()) {
+            // There is no descriptor for it, and no event loop that would tell; nor is it told from within.
+            loop.execute(() -> {
+                if (out == call) {
+                    fail(connecting.cause());
+                }
+            });
+            return;
+        }
         channel = connecting.channel();
         connecting.addListener(connected -> {
             if (connecting.channel() != channel) {
@@ -128,6 +141,17 @@
         }
     }
 
+    /** Sees the first bytes of an answer, long before it is whole. */
+    private final class Start extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            if (ctx.channel() == channel && out != null) {
+                watch.begun(out.number());
+            }
+            ctx.fireChannelRead(bytes);
+        }
+    }
+
     private final class Calls extends SimpleChannelInboundHandler<FullHttpResponse> {
 
         @Override
--- a/sidecar/src/main/java/martenlatch/membership/ListWatch.java
+++ b/sidecar/src/main/java/martenlatch/membership/ListWatch.java
@@ -1,6 +1,8 @@
 package martenlatch.membership;
 
 import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.function.DoubleSupplier;
 import martenlatch.host.Complaints;
 import martenlatch.host.ServerList;
 import martenlatch.host.Time;
@@ -13,9 +15,21 @@
  */
 public final class ListWatch {
 
-    /** How long discovery is asked to wait for news, in milliseconds. */
-    public static final int WAIT_MS = 20_000;
-    /** Silence for so long after that wait is a failure; so is a connection that takes so long. */
+    /**
+     * How long discovery is asked to wait for news, in milliseconds: longer would show late that a watch has
+     * fallen silent, and a shorter wait shows it no sooner to those who count what it misses as told.
+     */
+    public static final int MOST_WAIT_MS = 20_000;
+    public static final int LEAST_WAIT_MS = 4_000;
+    /** An agent on the own machine answers at no cost: its silence shows soon. */
+    private static final int AGENT_WAIT_MS = 2_000;
+    /**
+     * The end of a wait has to be answered within this time. What a silent watch misses counts as told 2 s
+     * after its wait: half of that is for noticing, the other half for asking anew and for the answer. An
+     * answer that has begun has to be whole within the same time.
+     */
+    public static final int OWED_MS = 1_000;
+    /** A call for the whole list waits for its turn only; a connection may take as long. */
     public static final int SILENCE_MS = 2_000;
 
     /**
@@ -23,12 +37,18 @@
      *
      * @param number tells it from all others of this watch
      * @param index what is known already: wanted is what is newer; none for the whole list
+     * @param waitMs how long discovery may wait for something newer; 0 where the whole list is asked for
      */
-    public record Call(long number, OptionalLong index) {
+    public record Call(long number, OptionalLong index, long waitMs) {
         /** What is asked for, as the protocol's page has it. */
         public String path() {
             return "/registry/instances" + (index.isPresent()
-                ? "?index=" + index.getAsLong() + "&wait=" + WAIT_MS : "");
+                ? "?index=" + index.getAsLong() + "&wait=" + waitMs : "");
+        }
+
+        /** When it is over without an answer, in milliseconds from its start. */
+        double overAfterMs() {
+            return index.isPresent() ? waitMs + OWED_MS : SILENCE_MS;
         }
     }
 
@@ -44,19 +64,38 @@
     private final Time time;
     private final Line line;
     private final Complaints complaints;
+    /** How long the next call may wait. */
+    private final DoubleSupplier wait;
     private ServerList.Listener listener;
     /** What is known of the list at this place; none calls for the whole of it. */
     private OptionalLong version = OptionalLong.empty();
     private long calls;
-    /** Set while a call is out. */
+    /** The call that is out, until when its answer may come, and whether that has begun to come. */
+    private Call out;
     private Time.Timer silence;
+    private double overAt;
+    private boolean begun;
+    /** The answer before broke off: a discovery that always does is left alone for a while. */
+    private boolean brokeOff;
     /** Set while a first call at a new place waits for its turn. */
     private Time.Timer due;
 
-    public ListWatch(Time time, Line line, Complaints complaints) {
+    /** A watch whose calls wait as long as {@code wait} says, asked before each. */
+    public ListWatch(Time time, Line line, Complaints complaints, DoubleSupplier wait) {
         this.time = time;
         this.line = line;
         this.complaints = complaints;
+        this.wait = wait;
+    }
+
+    /**
+     * How long a call waits: where discovery is asked, one or two times what the site gives for asking, at
+     * random, so that sidecars whose watches fell silent together, or ended together with nothing new, do
+     * not come back together. It costs discovery no more calls than the site has it bear.
+     */
+    public static double waitMs(Settings settings, SplittableRandom random) {
+        return settings.asksForList() ? Math.max(LEAST_WAIT_MS, Math.min(MOST_WAIT_MS,
+            settings.rules().askWithinMs() * (1 + random.nextDouble()))) : AGENT_WAIT_MS;
     }
 
     /**
@@ -76,17 +115,53 @@
 
     /** Starts a watch; one that is on goes on, and its next answer serves for both. */
     public void watch() {
-        if (silence != null) {
+        if (out != null) {
             return;
         }
         if (due != null) {
             due.cancel();
             due = null;
         }
-        Call call = new Call(++calls, version);
-        silence = time.after((version.isPresent() ? WAIT_MS : 0) + SILENCE_MS,
-            () -> failed(call.number(), "no answer in time"));
-        line.call(call);
+        out = new Call(++calls, version, version.isPresent() ? (long) wait.getAsDouble() : 0);
+        begun = false;
+        await(out.overAfterMs());
+        line.call(out);
+    }
+
+    private void await(double ms) {
+        overAt = time.now() + ms;
+        silence = time.after(ms, this::silent);
+    }
+
+    /** The first of an answer has come. */
+    public void begun(long call) {
+        if (!isOut(call) || begun) {
+            return;
+        }
+        begun = true;
+        if (overAt - time.now() > OWED_MS) {
+            silence.cancel();
+            await(OWED_MS);
+        }
+    }
+
+    /**
+     * No answer, or not the whole of one. Whatever a silent watch has missed counts as told soon, and that it
+     * was asked for long ago is of no use: it is opened anew at once.
+     */
+    private void silent() {
+        Call over = out;
+        if (over.index().isEmpty() || begun && brokeOff) {
+            failed(over.number(), "no answer in time");
+            return;
+        }
+        boolean broken = begun;
+        over();
+        line.drop();
+        brokeOff = broken;
+        complaints.log("discovery fell silent", broken ? "in the middle of an answer"
+            : "no answer after " + (over.waitMs() + OWED_MS) + " ms");
+        watch();
     }
 
     /**
@@ -117,6 +192,7 @@
             return;
         }
         over();
+        brokeOff = false;
         version = OptionalLong.of(list.version());
         watch();
         listener.listed(list);
@@ -128,19 +204,20 @@
             return;
         }
         over();
+        brokeOff = false;
         line.drop();
         complaints.log("discovery failed", why);
         listener.failed();
     }
 
     private boolean isOut(long call) {
-        return silence != null && call == calls;
+        return out != null && call == out.number();
     }
 
     private void over() {
-        if (silence != null) {
+        if (out != null) {
+            out = null;
             silence.cancel();
-            silence = null;
         }
     }
 }
--- a/sidecar/src/main/java/martenlatch/policy/Decide.java
+++ b/sidecar/src/main/java/martenlatch/policy/Decide.java
@@ -105,6 +105,8 @@
     /** Any large odd number: its powers put the servers of each ring into another order. */
     private static final long RING_MIX = 0x9E3779B1L;
     private static final double REPORT_MS = 10_000;
+    /** A watch that ended may have been asked for long ago: the next call comes well within that time. */
+    private static final double FIRST_ASK_PAUSE = 0.5;
     /** Four times the usual is allowed after a failed call; the last of it is for that call itself. */
     private static final int MOST_ASK_PAUSES = 3;
     /** Name of the timer for the next request for the list. */
@@ -497,10 +499,7 @@
         return COMFORT * Math.max(LEAST_COMFORT, Math.min(1, limit / AMPLE_LIMIT));
     }
 
-    /**
-     * This balancer's part of one call a server, at most one call. Balancers that all change their limits
-     * at once thus move the fleet by one call a server and round of answers, however many they are.
-     */
+    /** This balancer's part of one call a server, at most one: all together move the fleet by that much. */
     private double growth() {
         return Math.min(1, (double) ready / settings.balancers());
     }
@@ -761,8 +760,10 @@
 
     private boolean mayRetry(double now, Call call, Outcome outcome) {
         double left = call.usefulUntil - now;
-        if (call.out > 0 || call.attempts.size() >= call.tries || outcome == Outcome.IGNORED
-                || left < call.known.typicalMs / 2) {
+        Target last = call.attempts.get(call.attempts.size() - 1).slot().target;
+        // What was not sent on may go elsewhere only where the server has begun to drain in the meantime.
+        if (call.out > 0 || call.attempts.size() >= call.tries || left < call.known.typicalMs / 2
+                || outcome == Outcome.IGNORED && !last.forgotten && last.listed.state() == State.READY) {
             return false;
         }
         if (call.mayHaveRun != null) {
@@ -980,10 +981,7 @@
         offer(now, target);
     }
 
-    /**
-     * The rank a slot is used by: the formula's, times the server's cost. That hardly moves the lowest
-     * ranks, so a cost above the usual also moves the server back as a whole.
-     */
+    /** The formula's rank times the server's cost, which hardly moves the lowest: all move back a little. */
     private double rank(Slot slot) {
         return (formula(slot) + 0.5) * slot.target.cost
             + Math.max(0, slot.target.cost - 1) * settings.balancers() * STEP_BACK;
@@ -1139,7 +1137,8 @@
     @Override
     public void onServers(double now, ListKind kind, List<Contract.Server> entries) {
         if (kind == ListKind.FAILED) {
-            askForList(settings.rules().askWithinMs() * Math.min(++askFailures, MOST_ASK_PAUSES));
+            askForList(settings.rules().askWithinMs()
+                * Math.min(Math.max(FIRST_ASK_PAUSE, askFailures++), MOST_ASK_PAUSES));
             return;
         }
         askFailures = 0;
--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -67,6 +67,8 @@
     private Time.Timer goodbye;
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
+    /** The first answer of discovery has come. */
+    private final CountDownLatch firstWord = new CountDownLatch(1);
     private Frontend frontend;
     private DiscoveryClient discovery;
     private EndpointPool endpoints;
@@ -118,6 +120,10 @@
             // Where none does, a client that is taken in early waits a little, and one that is refused
             // finds nobody.
             boolean beside = sidecar.operations.othersServe();
+            if (!config.settings().asksForList()) {
+                // What the agent has counts as told already: the list in the file may be older.
+                sidecar.firstWord.await(ListWatch.SILENCE_MS, TimeUnit.MILLISECONDS);
+            }
             if (!beside) {
                 sidecar.listen(config);
             }
@@ -170,7 +176,8 @@
         int half = Math.max(LEAST_CONNECTIONS, (config.sockets() - openFiles() - spare) / 2);
         endpoints = new EndpointPool(loop, time, complaints,
             config.settings().limits().connectTimeoutMs(), config.idleCloseMs(), half);
-        discovery = new DiscoveryClient(loop, time, config.discovery(), config.names(), complaints);
+        discovery = new DiscoveryClient(loop, time, config.discovery(), config.names(), complaints,
+            () -> ListWatch.waitMs(config.settings(), random));
         exchange = new Exchange(time, complaints, endpoints, discovery::watch, config.settings(),
             config.seed(), config.known(), Witness.NONE);
         operations = new Operations(time, complaints, new Service());
@@ -223,6 +230,7 @@
         public void listed(ServerList list) {
             operations.listed(list);
             exchange.listed(list);
+            firstWord.countDown();
         }
 
         @Override
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
@@ -70,7 +70,9 @@
         private final Upload upload;
         private Carrier.Ending ending;
         private Connection connection;
-        /** The last byte has been handed to the network: from here on the request may have run. */
+        /** Something of it has been handed to the network. */
+        private boolean begun;
+        /** The last byte has been: from here on the request may have run. */
         private boolean written;
 
         private Attempt(HttpRequest request, Upload upload, Carrier.Ending ending) {
@@ -92,6 +94,16 @@
             return written;
         }
 
+        @Override
+        public boolean withdraw() {
+            if (begun || ending == null) {
+                return false;
+            }
+            ending = null;
+            connection.close();
+            return true;
+        }
+
         private void end(Outcome outcome, Answer answer) {
             Carrier.Ending told = ending;
             ending = null;
@@ -107,6 +119,8 @@
         double startedMs;
         /** The most recently used last. */
         final Deque<Connection> idle = new ArrayDeque<>();
+        /** Those that are coming up, each for an attempt that waits for it. */
+        final Set<Connection> rising = new LinkedHashSet<>();
         /** Raised when the endpoint's connections are of no more use; older ones are not kept. */
         int generation;
     }
@@ -121,6 +135,8 @@
     private final Map<InetSocketAddress, Endpoint> atAddress = new HashMap<>();
     /** All idle connections, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
+    /** Attempts that wait for connections nobody wants any more. */
+    private final List<Attempt> needless = new ArrayList<>();
     private Time.Timer sweeping;
     private int open;
 
@@ -179,6 +195,26 @@
             endpoint.address = entry.address();
             endpoint.startedMs = entry.server().startedMs();
             settleAddress(endpoint);
+            if (entry.server().state() != State.READY) {
+                leaveWaiting(endpoint);
+            }
+        }
+    }
+
+    private void leaveWaiting(Endpoint endpoint) {
+        endpoint.rising.forEach(connection -> needless.add(connection.attempt));
+    }
+
+    /** A send counts from its first byte, so what was decided before the list came must not begin after. */
+    @Override
+    public void withdraw() {
+        List<Attempt> left = List.copyOf(needless);
+        needless.clear();
+        for (Attempt attempt : left) {
+            Carrier.Ending told = attempt.ending;
+            if (attempt.withdraw()) {
+                told.ended(Outcome.IGNORED, null);
+            }
         }
     }
 
@@ -226,8 +262,9 @@
         return atAddress.size();
     }
 
-    private static void retire(Endpoint endpoint) {
+    private void retire(Endpoint endpoint) {
         endpoint.generation++;
+        leaveWaiting(endpoint);
         closeAll(endpoint);
     }
 
@@ -251,6 +288,19 @@
         return new MessageCarrier(message);
     }
 
+    /** An attempt that was over before it began. */
+    private static final Carrier.Attempt NOTHING = new Carrier.Attempt() {
+        @Override
+        public boolean giveUp() {
+            return false;
+        }
+
+        @Override
+        public boolean withdraw() {
+            return false;
+        }
+    };
+
     private final class MessageCarrier implements Carrier {
         private final Message message;
         private boolean sent;
@@ -264,7 +314,7 @@
             if (message.upload() != null && !message.upload().isFresh()) {
                 // A part of the body is gone: nothing is sent, and the endpoint is not to blame.
                 ending.ended(Outcome.IGNORED, null);
-                return () -> false;
+                return NOTHING;
             }
             // Hardly any request needs a second attempt: only those copy the headers.
             HttpHeaders headers = sent ? message.headers().copy() : message.headers();
@@ -374,7 +424,6 @@
         void open(Attempt first) {
             attempt = first;
             first.connection = this;
-            open++;
             ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<EndpointSocket>() {
                 @Override
                 protected void initChannel(EndpointSocket fresh) {
@@ -383,9 +432,18 @@
                     fresh.pipeline().addLast(new Troubles());
                 }
             }).connect(endpoint.address);
-            channel = (EndpointSocket) connecting.channel();
+            if (!(connecting.channel() instanceof EndpointSocket socket)) {
+                // There is no descriptor for it: nothing was opened, and nothing sent.
+                attempt = null;
+                refuse(first, String.valueOf(connecting.cause()));
+                return;
+            }
+            channel = socket;
+            open++;
             channel.closeFuture().addListener(closed -> open--);
+            endpoint.rising.add(this);
             connecting.addListener(connected -> {
+                endpoint.rising.remove(this);
                 if (!connected.isSuccess()) {
                     first.drop();
                     channel.close();
@@ -409,6 +467,7 @@
 
         private void send(Attempt sent) {
             if (sent.upload == null) {
+                sent.begun = true;
                 channel.writeAndFlush(sent.request).addListener(written ->
                     written(sent, written.isSuccess()));
                 return;
@@ -420,6 +479,7 @@
                 return;
             }
             uploading = sent;
+            sent.begun = true;
             channel.writeAndFlush(sent.request);
             // An endpoint may turn a request away before all of it has come.
             reader.expect();
--- a/sidecar/src/main/java/martenlatch/upstream/Upload.java
+++ b/sidecar/src/main/java/martenlatch/upstream/Upload.java
@@ -124,7 +124,8 @@
     }
 
     private void mindSource() {
-        boolean stop = waitingBytes >= MOST_WAITING;
+        // Of a body that has come whole only the client's end is still to come, which has to be seen.
+        boolean stop = waitingBytes >= MOST_WAITING && !whole;
         if (stop != paused && !over) {
             paused = stop;
             source.pause(stop);
--- a/sidecar/src/test/java/martenlatch/policy/DecideTest.java
+++ b/sidecar/src/test/java/martenlatch/policy/DecideTest.java
@@ -448,6 +448,32 @@
         assertTrue(f.host.timers.stream().anyMatch(ms -> ms > 25_000));
     }
 
+    /** A watch may have ended long after its call: then only the usual time is left, or less. */
+    @Test
+    void aWatchThatEndedIsAskedForWellWithinTheUsualTime() {
+        double most = 0;
+        for (int seed = 0; seed < 500; seed++) {
+            Fixture f = new Fixture(Fixture.settings(1, 0, 1, true), seed);
+            f.balancer.onServers(f.now, ListKind.FAILED, List.of());
+            most = Math.max(most, f.host.timers.get(0));
+        }
+        assertTrue(most > 4500 && most <= 5000, "" + most);
+    }
+
+    /** An attempt withdrawn as its server drains never ran and goes elsewhere; one that expired does not. */
+    @Test
+    void whatWasWithdrawnFromADrainingServerGoesElsewhere() {
+        for (State state : List.of(State.READY, State.DRAINING, State.GONE)) {
+            Fixture f = Fixture.of(1, 0, 1).list(Fixture.servers(2));
+            f.request(Fixture.ONCE);
+            Recorder.Sent first = f.host.last();
+            f.change(Fixture.server(first.server()).withState(state));
+            f.finish(first, Outcome.IGNORED, 5);
+            assertEquals(state == State.READY ? 1 : 2, f.host.sent.size(), state.name());
+            assertEquals(state == State.READY, f.host.last().server().equals(first.server()));
+        }
+    }
+
     // ---- connections ----
 
     /** So many calls on each of three servers: all are answered but the last on the lowest-ranked one. */
--- /dev/null
+++ b/sidecar/src/test/java/martenlatch/sidecar/RareOrdersTest.java
@@ -0,0 +1,364 @@
+package martenlatch.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.SocketException;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Orders of events that come seldom, each made to happen every time by its peers; docs/rare-orders.md. */
+@Timeout(60)
+class RareOrdersTest {
+
+    private static final int DEADLINE_MS = 8000;
+    /** The client's end has to show long before this, at which the request would be over anyway. */
+    private static final double NOTICED_MS = DEADLINE_MS / 2.0;
+
+    private Rig rig;
+
+    @AfterEach
+    void stop() throws IOException {
+        rig.close();
+    }
+
+    private static Fake good() throws IOException {
+        return Fake.answering(200, "", "served");
+    }
+
+    private static double sinceMs(long nanos) {
+        return (System.nanoTime() - nanos) / 1e6;
+    }
+
+    private void awaitOpen(int requests) throws InterruptedException {
+        Rig.await(requests + " requests are open", () -> rig.tableSizes().get(0) == requests);
+    }
+
+    /** A rig with one endpoint of its list at an address of the test's. */
+    private Rig before(String address) throws IOException {
+        rig = new Rig(Fake.place());
+        rig.known = List.of(Rig.line(0, address, "in_service", 0));
+        return rig;
+    }
+
+    // ---- a client leaves ----
+
+    /** Guards against requests whose client has left while their connection came up, and which then run. */
+    @ParameterizedTest
+    @ValueSource(strings = {"order, cancel", "order", "read, cancel", "read"})
+    void nothingIsSentForAClientThatLeftBeforeTheConnectionWasUp(String how) throws Exception {
+        String kind = how.split(",")[0];
+        try (LateEndpoint late = new LateEndpoint()) {
+            before(late.address());
+            rig.cancel = how.endsWith("cancel");
+            rig.dialMs = 30_000;
+            rig.start();
+            long began = System.nanoTime();
+            Wire leaves = rig.client().send(rig.request(kind, DEADLINE_MS));
+            awaitOpen(1);
+            Wire stays = rig.client().send(rig.request(kind, DEADLINE_MS));
+            awaitOpen(2);
+            leaves.close();
+            awaitOpen(1);
+            assertTrue(sinceMs(began) < NOTICED_MS, "withdrawn, and not timed out");
+            late.open();
+            assertEquals("late", stays.read().body());
+            stays.close();
+            assertEquals(List.of("r1"), late.requests.stream()
+                .map(request -> request.headers().get("x-request-id")).toList());
+            // Nothing is held against the endpoint: it is asked at once.
+            assertEquals("late", rig.ask("order", DEADLINE_MS).body());
+        }
+    }
+
+    /**
+     * Guards against an end behind bytes that nobody reads: a client that has eight requests in hand and the
+     * beginning of a ninth sent, and leaves.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"fin", "reset", "fin behind more than is held", "fin behind a flood"})
+    void theEndOfAClientFarAheadOfItsAnswersIsSeen(String how) throws Exception {
+        rig = new Rig(new Fake((wire, request) -> wire.awaitEnd())).start();
+        Wire client = rig.client();
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 8; i++) {
+            all.append(rig.request("order", DEADLINE_MS));
+        }
+        client.send(all.toString());
+        Rig.await("some are at the endpoint", () -> rig.attempts() > 0);
+        // Once another client has its answer, all that came before has been dealt with.
+        rig.ask("order", DEADLINE_MS);
+        long began = System.nanoTime();
+        if (how.endsWith("held")) {
+            client.send("POST /api HTTP/1.1\r\nContent-Length: 50000\r\n\r\n" + "x".repeat(40_000));
+        } else if (how.endsWith("flood")) {
+            client.send("no request at all\r\n\r\n" + "x".repeat(1_000_000));
+        } else {
+            client.send("POST /api HT");
+        }
+        if (how.equals("reset")) {
+            client.reset();
+        } else {
+            client.close();
+        }
+        awaitOpen(0);
+        assertTrue(sinceMs(began) < NOTICED_MS, "noticed, and not timed out");
+        Rig.await("its attempts are called off", () -> rig.endpoints.get(0).open.get() == 0);
+    }
+
+    /** Guards against bytes held back while eight are in hand that are lost, or told in another order. */
+    @Test
+    void whatIsHeldBackIsServedInItsTurn() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        Fake.Script script = (wire, request) -> {
+            release.await();
+            Fake.answer(wire, 200, "", request.headers().get("x-request-id"));
+        };
+        rig = new Rig(new Fake(script), new Fake(script), new Fake(script)).start();
+        try (Wire client = rig.client()) {
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < 8; i++) {
+                all.append(rig.request("read", DEADLINE_MS));
+            }
+            client.send(all.toString());
+            Rig.await("eight are at the endpoints", () -> rig.attempts() == 8);
+            String next = rig.request("read", DEADLINE_MS);
+            client.send(next.substring(0, 20));
+            rig.sidecar.loop().submit(() -> { }).get();
+            client.send(next.substring(20));
+            release.countDown();
+            for (int i = 0; i < 9; i++) {
+                assertEquals("r" + i, client.read().body());
+            }
+        }
+        awaitOpen(0);
+    }
+
+    // ---- shutdown ----
+
+    /**
+     * Guards against a request that is cut off because its last byte comes after the last call. A run in
+     * which this machine took longer than the sidecar waits shows nothing and is made again.
+     */
+    @Test
+    void aRequestWhoseLastByteComesAfterTheLastCallIsAnswered() throws Exception {
+        for (int i = 0; i < 10; i++) {
+            rig = new Rig(good()).start();
+            Wire idle = rig.client();
+            assertEquals(200, idle.send(rig.request("order", DEADLINE_MS)).read().status());
+            Wire half = rig.client();
+            assertEquals(200, half.send(rig.request("order", DEADLINE_MS)).read().status());
+            Thread drain = new Thread(rig.sidecar::drain);
+            drain.start();
+            Rig.await("the listener is closed", () -> !accepts(rig.sidecar.address()));
+            String request = rig.request("order", DEADLINE_MS);
+            half.send(request.substring(0, 30));
+            // It has been read before the last call.
+            assertEquals(200, idle.send(rig.request("order", DEADLINE_MS)).read().status());
+            idle.awaitEnd();
+            long lastCall = System.nanoTime();
+            try {
+                half.send(request.substring(30));
+                double tookMs = sinceMs(lastCall);
+                if (tookMs < 100) {
+                    Wire.Message answer = half.read();
+                    assertEquals(200, answer.status());
+                    assertEquals("close", answer.headers().get("connection"));
+                    drain.join();
+                    return;
+                }
+            } catch (SocketException e) {
+                assertTrue(sinceMs(lastCall) >= 100, "it was let go at once");
+            }
+            drain.join();
+            rig.close();
+        }
+        throw new AssertionError("this machine was too busy in each of ten runs");
+    }
+
+    private static boolean accepts(InetSocketAddress address) {
+        try (Wire wire = Wire.to(address)) {
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    // ---- the list ----
+
+    /** Guards against a silent watch that is waited for until what it misses counts as told. */
+    @ParameterizedTest
+    @ValueSource(strings = {"on_request", "pushed"})
+    void aWatchThatFellSilentIsOpenedAnewInTime(String membership) throws Exception {
+        try (Fake other = good()) {
+            rig = new Rig(good());
+            rig.membership = membership;
+            rig.askWithinMs = 4000;
+            // Where lists are pushed the first call is for the whole list.
+            int silent = membership.equals("pushed") ? 2 : 1;
+            rig.discovery.script = (wire, request) -> {
+                String good = rig.endpoints.get(0).address();
+                if (rig.discovery.requests.size() < silent) {
+                    Fake.answer(wire, 200, "", Rig.list(1, true, Rig.line(0, good, "in_service", 0)));
+                } else if (rig.discovery.requests.size() == silent + 1) {
+                    Fake.answer(wire, 200, "", Rig.list(2, false, Rig.line(0, good, "terminating", 0),
+                        Rig.line(1, other.address(), "in_service", 0)));
+                } else {
+                    wire.awaitEnd();
+                }
+            };
+            rig.start();
+            Rig.await("it asks anew", () -> rig.discovery.requests.size() == silent + 2);
+            assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+            assertEquals(1, other.requests.size(), "what it missed is known now");
+            assertEquals(2, rig.discovery.connections.get(), "the silent connection is not used again");
+            assertTrue(rig.logged().contains("discovery fell silent"), rig.logged());
+            assertFalse(rig.logged().contains("discovery failed"), rig.logged());
+        }
+    }
+
+    /** Guards against half an answer that is waited for as long as a whole one. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n{\"version\":2,", "trickle"})
+    void anAnswerThatBreaksOffIsNotWaitedFor(String half) throws Exception {
+        try (Fake other = good(); Fake moved = new Fake((wire, request) -> wire.awaitEnd())) {
+            rig = new Rig(good()).start();
+            moved.script = (wire, request) -> {
+                switch (moved.requests.size()) {
+                    case 1 -> Fake.answer(wire, 200, "", Rig.list(1, true,
+                        Rig.line(0, rig.endpoints.get(0).address(), "in_service", 0)));
+                    case 2 -> breakOff(wire, half);
+                    case 3 -> Fake.answer(wire, 200, "", Rig.list(2, true,
+                        Rig.line(1, other.address(), "in_service", 0)));
+                    default -> wire.awaitEnd();
+                }
+            };
+            Files.writeString(rig.configFile, rig.config().replace(rig.discovery.address(),
+                moved.address()));
+            long began = System.nanoTime();
+            rig.sidecar.reload();
+            Rig.await("it asks anew, and goes on", () -> moved.requests.size() == 4);
+            assertTrue(moved.requests.get(1).line().contains("wait=20000"), "the usual wait is much longer");
+            assertTrue(sinceMs(began) < 10_000, "and is not waited for");
+            assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+            assertEquals(1, other.requests.size());
+            assertTrue(rig.logged().contains("in the middle of an answer"), rig.logged());
+        }
+    }
+
+    private static void breakOff(Wire wire, String half) throws Exception {
+        if (!half.equals("trickle")) {
+            wire.send(half).awaitEnd();
+        }
+        wire.send("HTTP/1.1 200 OK\r\nContent-Length: 3000\r\n\r\n{");
+        while (true) {
+            wire.send(" ");
+            Thread.sleep(50);
+        }
+    }
+
+    /**
+     * Guards against a request that goes to an endpoint long after the list has said that it drains, because
+     * its connection came up late; and against one that is given up although others could serve it.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"terminating", "terminated", "left out", "restarted"})
+    void anAttemptThatWaitsForItsConnectionLeavesAnEndpointThatDrains(String how) throws Exception {
+        LinkedBlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        try (LateEndpoint late = new LateEndpoint(); Fake other = good(); Fake again = good()) {
+            before(late.address());
+            rig.dialMs = 30_000;
+            rig.askWithinMs = 20;
+            rig.discovery.script = (wire, request) -> Fake.answer(wire, 200, "", answers.take());
+            rig.start();
+            Wire unsafe = rig.client().send(rig.request("order", DEADLINE_MS));
+            awaitOpen(1);
+            Rig.await("a watch is on", () -> rig.discovery.requests.size() == 1);
+            String next = Rig.line(1, other.address(), "in_service", 0);
+            answers.add(switch (how) {
+                case "left out" -> Rig.list(2, true, next);
+                case "restarted" -> Rig.list(2, false, next, Rig.line(0, again.address(), "in_service",
+                    System.currentTimeMillis()));
+                default -> Rig.list(2, false, next, Rig.line(0, late.address(), how, 0));
+            });
+            assertEquals("served", unsafe.read().body(), "it never ran, so another one may have it");
+            unsafe.close();
+            late.open();
+            assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+            assertEquals(List.of(), late.requests);
+        }
+    }
+
+    /** Guards against a start from a list that is older than what this machine's agent has been told. */
+    @Test
+    void whereListsArePushedTheAgentIsHeardBeforeTheFirstClient() throws Exception {
+        List<String> seen = new ArrayList<>();
+        try (ServerSocket free = new ServerSocket(0); Fake other = good()) {
+            rig = new Rig(good());
+            rig.listen = "127.0.0.1:" + free.getLocalPort();
+            rig.membership = "pushed";
+            rig.discovery.script = (wire, request) -> {
+                if (rig.discovery.requests.size() > 1) {
+                    wire.awaitEnd();
+                }
+                // A sidecar that does not wait listens within milliseconds.
+                for (int i = 0; i < 100 && !rig.logged().contains("listens at"); i++) {
+                    Thread.sleep(10);
+                }
+                seen.add(rig.logged().contains("listens at") ? "listens" : "waits");
+                Fake.answer(wire, 200, "", Rig.list(2, true,
+                    Rig.line(0, rig.endpoints.get(0).address(), "terminating", 0),
+                    Rig.line(1, other.address(), "in_service", 0)));
+            };
+            free.close();
+            rig.start();
+            assertEquals(List.of("waits"), seen);
+            assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+            assertEquals(1, other.requests.size());
+        }
+    }
+
+    /** An agent that is silent, as while discovery is down, does not keep a sidecar from serving. */
+    @Test
+    void aSilentAgentIsWaitedForOnlyForAWhile() throws Exception {
+        rig = new Rig(good());
+        rig.membership = "pushed";
+        rig.start();
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+        assertEquals(1, rig.discovery.requests.size());
+    }
+
+    // ---- a client and its answer ----
+
+    /** A client that ends its side has left, as one that closes: nobody can tell them apart. */
+    @Test
+    void aClientThatEndsItsSideHasLeft() throws Exception {
+        Fake hung = new Fake((wire, request) -> wire.awaitEnd());
+        rig = new Rig(hung).start();
+        try (Wire client = rig.client()) {
+            client.send(rig.request("order", DEADLINE_MS));
+            client.socket.shutdownOutput();
+            try {
+                client.read();
+                throw new AssertionError("an answer for nobody");
+            } catch (EOFException | SocketException e) {
+                awaitOpen(0);
+            }
+        }
+        Rig.await("what was sent is called off", () -> hung.open.get() == 0);
+    }
+}
--- a/sidecar/src/test/java/martenlatch/upstream/UploadTest.java
+++ b/sidecar/src/test/java/martenlatch/upstream/UploadTest.java
@@ -112,4 +112,15 @@
         assertFalse(upload.isFresh(), "no endpoint gets half of it");
         assertEquals(0, ends);
     }
+
+    /** Behind a body that is whole comes the client's end, which nobody sees while the client waits. */
+    @Test
+    void aClientWhoseBodyIsWholeIsHeard() {
+        offer(5);
+        assertTrue(paused);
+        upload.end();
+        assertFalse(paused);
+        upload.cut();
+        assertEquals(0, held());
+    }
 }
