--- a/extproc/src/main/java/martenlatch/extproc/ExtProcServer.java
+++ b/extproc/src/main/java/martenlatch/extproc/ExtProcServer.java
@@ -24,7 +24,7 @@
 import martenlatch.host.Time;
 import martenlatch.host.Witness;
 import martenlatch.membership.DiscoveryClient;
-import martenlatch.membership.ListWatch;
+import martenlatch.membership.Pace;
 import martenlatch.net.LoopTime;
 import martenlatch.policy.Contract.RequestClass;
 import martenlatch.site.SiteConfig;
@@ -86,7 +86,7 @@
         EndpointAddresses addresses = new EndpointAddresses();
         SplittableRandom random = new SplittableRandom(config.seed());
         discovery = new DiscoveryClient(loop, time, config.discovery(), config.names(), complaints,
-            () -> ListWatch.waitMs(config.settings(), random));
+            () -> Pace.next(config.settings(), random));
         exchange = new Exchange(time, complaints, addresses, discovery::watch, config.settings(),
             config.seed(), config.known(), Witness.NONE);
         discovery.listen(exchange, config.known().version());
--- a/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
@@ -24,6 +24,7 @@
 import martenlatch.host.Time;
 import martenlatch.host.Witness;
 import martenlatch.membership.ListWatch;
+import martenlatch.membership.Pace;
 import martenlatch.policy.Contract.Outcome;
 import martenlatch.policy.Contract.Request;
 import martenlatch.policy.Contract.Settings;
@@ -123,7 +124,7 @@
         ServerList known = discovery.list();
         Time own = new OwnTime();
         Complaints complaints = new Complaints(time, new PrintStream(OutputStream.nullOutputStream()));
-        watch = new ListWatch(own, new Line(), complaints, () -> ListWatch.waitMs(settings, moves));
+        watch = new ListWatch(own, new Line(), complaints, () -> Pace.next(settings, moves));
         exchange = new Exchange(own, complaints, new Table(), watch::watch, settings, seed * 31 + life,
             known, Witness.NONE);
         watch.listen(exchange, known.version());
@@ -351,7 +352,7 @@
         public void call(ListWatch.Call call) {
             int mine = life;
             long index = call.index().orElse(-1);
-            toDiscovery.send(() -> discovery.ask(name, index, call.waitMs(), new SimDiscovery.Caller() {
+            toDiscovery.send(() -> discovery.ask(name, index, call.pace().waitMs(), new SimDiscovery.Caller() {
                 @Override
                 public void answered(ServerList list) {
                     fromDiscovery.send(() -> enter(mine, () -> watch.answered(call.number(), list)));
--- a/sidecar/src/main/java/martenlatch/front/http/ClientGuard.java
+++ b/sidecar/src/main/java/martenlatch/front/http/ClientGuard.java
@@ -222,8 +222,9 @@
      * Ends the connection once its last answer is written, in a way that lets that answer arrive.
      *
      * @param inBody whether the client is in the middle of a body
+     * @param leastMs so long the client has at least to take the answer and end its side
      */
-    void endAfter(ChannelFuture lastAnswer, boolean inBody) {
+    void endAfter(ChannelFuture lastAnswer, boolean inBody, double leastMs) {
         goDeaf();
         ended = true;
         cutShort = inBody;
@@ -232,7 +233,8 @@
         lastAnswer.addListener(written -> {
             if (written.isSuccess()) {
                 channel.shutdownOutput();
-                await(channel.pipeline().context(this), inBody ? BODY_LINGER_MS : LINGER_MS);
+                await(channel.pipeline().context(this),
+                    Math.max((int) leastMs, inBody ? BODY_LINGER_MS : LINGER_MS));
             } else {
                 channel.close();
             }
--- a/sidecar/src/main/java/martenlatch/front/http/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/front/http/Frontend.java
@@ -57,8 +57,8 @@
     private static final int MOST_AHEAD = 8;
     /** Connections above the bound that are still taken in, to refuse what they ask in good order. */
     public static final int OVERFLOW = 16;
-    /** After the last call a request that has begun to come may take so long for the rest of it. */
-    private static final double LAST_BYTES_MS = 300;
+    /** Clients may take their last answers until the process is gone, which is a little later than this. */
+    private static final double LAST_TAKEN_MS = 1000;
     private static final double OVERFLOW_COOL_DOWN_MS = 1000;
     /** Headers that concern one connection only. */
     private static final List<CharSequence> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
@@ -177,14 +177,14 @@
 
     /**
      * From now on each answer is the last on its connection; those that wait for none are let go. Who is in
-     * the middle of asking is not, but where this sidecar stops and no other is there a restart waits for it,
-     * and not for long: what has not become whole by then was never taken.
+     * the middle of asking is not: its last byte may be on its way. Where this sidecar stops it has until all
+     * is to be answered; what has not become whole by then was never taken.
      */
     public void finish() {
         finishing = true;
         letGo(true);
         if (stopping && !hasHeir) {
-            time.after(LAST_BYTES_MS, () -> letGo(false));
+            time.after(endsAt - time.now(), () -> letGo(false));
         }
     }
 
@@ -432,7 +432,8 @@
             ending = reply.isLast;
             if (ending) {
                 reader.stop();
-                guard.endAfter(written, bodyCut);
+                // With the process all that has not been taken yet ends too: then nobody is hurried.
+                guard.endAfter(written, bodyCut, stopping ? endsAt + LAST_TAKEN_MS - time.now() : 0);
             }
         }
 
--- a/sidecar/src/main/java/martenlatch/membership/DiscoveryClient.java
+++ b/sidecar/src/main/java/martenlatch/membership/DiscoveryClient.java
@@ -24,7 +24,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import martenlatch.host.Complaints;
 import martenlatch.host.ServerList;
 import martenlatch.host.Time;
@@ -45,11 +45,11 @@
     private ListWatch.Call out;
 
     public DiscoveryClient(EventLoop loop, Time time, InetSocketAddress address, RegistryList.Names names,
-            Complaints complaints, DoubleSupplier wait) {
+            Complaints complaints, Supplier<Pace> pace) {
         this.loop = loop;
         this.address = address;
         this.names = names;
-        watch = new ListWatch(time, this, complaints, wait);
+        watch = new ListWatch(time, this, complaints, pace);
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .option(ChannelOption.TCP_NODELAY, true)
--- a/sidecar/src/main/java/martenlatch/membership/ListWatch.java
+++ b/sidecar/src/main/java/martenlatch/membership/ListWatch.java
@@ -1,8 +1,7 @@
 package martenlatch.membership;
 
 import java.util.OptionalLong;
-import java.util.SplittableRandom;
-import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import martenlatch.host.Complaints;
 import martenlatch.host.ServerList;
 import martenlatch.host.Time;
@@ -15,21 +14,7 @@
  */
 public final class ListWatch {
 
-    /**
-     * How long discovery is asked to wait for news, in milliseconds: longer would show late that a watch has
-     * fallen silent, and a shorter wait shows it no sooner to those who count what it misses as told.
-     */
-    public static final int MOST_WAIT_MS = 20_000;
-    public static final int LEAST_WAIT_MS = 4_000;
-    /** An agent on the own machine answers at no cost: its silence shows soon. */
-    private static final int AGENT_WAIT_MS = 2_000;
-    /**
-     * The end of a wait has to be answered within this time. What a silent watch misses counts as told 2 s
-     * after its wait: half of that is for noticing, the other half for asking anew and for the answer. An
-     * answer that has begun has to be whole within the same time.
-     */
-    public static final int OWED_MS = 1_000;
-    /** A call for the whole list waits for its turn only; a connection may take as long. */
+    /** What a call for the whole list may take, which waits for its turn only; a connection may as well. */
     public static final int SILENCE_MS = 2_000;
 
     /**
@@ -37,18 +22,18 @@
      *
      * @param number tells it from all others of this watch
      * @param index what is known already: wanted is what is newer; none for the whole list
-     * @param waitMs how long discovery may wait for something newer; 0 where the whole list is asked for
+     * @param pace how long discovery may wait for something newer, and what it owes
      */
-    public record Call(long number, OptionalLong index, long waitMs) {
+    public record Call(long number, OptionalLong index, Pace pace) {
         /** What is asked for, as the protocol's page has it. */
         public String path() {
             return "/registry/instances" + (index.isPresent()
-                ? "?index=" + index.getAsLong() + "&wait=" + waitMs : "");
+                ? "?index=" + index.getAsLong() + "&wait=" + pace.waitMs() : "");
         }
 
         /** When it is over without an answer, in milliseconds from its start. */
         double overAfterMs() {
-            return index.isPresent() ? waitMs + OWED_MS : SILENCE_MS;
+            return index.isPresent() ? pace.waitMs() + pace.owedMs() : pace.wholeMs();
         }
     }
 
@@ -64,8 +49,8 @@
     private final Time time;
     private final Line line;
     private final Complaints complaints;
-    /** How long the next call may wait. */
-    private final DoubleSupplier wait;
+    /** That of the next call. */
+    private final Supplier<Pace> pace;
     private ServerList.Listener listener;
     /** What is known of the list at this place; none calls for the whole of it. */
     private OptionalLong version = OptionalLong.empty();
@@ -80,22 +65,12 @@
     /** Set while a first call at a new place waits for its turn. */
     private Time.Timer due;
 
-    /** A watch whose calls wait as long as {@code wait} says, asked before each. */
-    public ListWatch(Time time, Line line, Complaints complaints, DoubleSupplier wait) {
+    /** A watch whose calls have the pace that {@code pace} says, asked before each. */
+    public ListWatch(Time time, Line line, Complaints complaints, Supplier<Pace> pace) {
         this.time = time;
         this.line = line;
         this.complaints = complaints;
-        this.wait = wait;
-    }
-
-    /**
-     * How long a call waits: where discovery is asked, one or two times what the site gives for asking, at
-     * random, so that sidecars whose watches fell silent together, or ended together with nothing new, do
-     * not come back together. It costs discovery no more calls than the site has it bear.
-     */
-    public static double waitMs(Settings settings, SplittableRandom random) {
-        return settings.asksForList() ? Math.max(LEAST_WAIT_MS, Math.min(MOST_WAIT_MS,
-            settings.rules().askWithinMs() * (1 + random.nextDouble()))) : AGENT_WAIT_MS;
+        this.pace = pace;
     }
 
     /**
@@ -122,7 +97,7 @@
             due.cancel();
             due = null;
         }
-        out = new Call(++calls, version, version.isPresent() ? (long) wait.getAsDouble() : 0);
+        out = new Call(++calls, version, pace.get());
         begun = false;
         await(out.overAfterMs());
         line.call(out);
@@ -133,15 +108,15 @@
         silence = time.after(ms, this::silent);
     }
 
-    /** The first of an answer has come. */
+    /** The first of an answer has come: from then on the whole of it is owed. */
     public void begun(long call) {
         if (!isOut(call) || begun) {
             return;
         }
         begun = true;
-        if (overAt - time.now() > OWED_MS) {
+        if (overAt - time.now() > out.pace().owedMs()) {
             silence.cancel();
-            await(OWED_MS);
+            await(out.pace().owedMs());
         }
     }
 
@@ -160,7 +135,7 @@
         line.drop();
         brokeOff = broken;
         complaints.log("discovery fell silent", broken ? "in the middle of an answer"
-            : "no answer after " + (over.waitMs() + OWED_MS) + " ms");
+            : "no answer after " + Math.round(over.overAfterMs()) + " ms");
         watch();
     }
 
--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -26,6 +26,7 @@
 import martenlatch.host.Witness;
 import martenlatch.membership.DiscoveryClient;
 import martenlatch.membership.ListWatch;
+import martenlatch.membership.Pace;
 import martenlatch.net.LoopTime;
 import martenlatch.policy.Contract.RequestClass;
 import martenlatch.site.PeerAddresses;
@@ -177,7 +178,7 @@
         endpoints = new EndpointPool(loop, time, complaints,
             config.settings().limits().connectTimeoutMs(), config.idleCloseMs(), half);
         discovery = new DiscoveryClient(loop, time, config.discovery(), config.names(), complaints,
-            () -> ListWatch.waitMs(config.settings(), random));
+            () -> Pace.next(config.settings(), random));
         exchange = new Exchange(time, complaints, endpoints, discovery::watch, config.settings(),
             config.seed(), config.known(), Witness.NONE);
         operations = new Operations(time, complaints, new Service());
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
@@ -51,8 +51,11 @@
     private static final int STUCK_MS = 2000;
     /** Tells the endpoint how long its answer is waited for, in whole milliseconds. */
     private static final String DEADLINE = "X-Deadline-Ms";
-    /** Bytes that don't belong to an answer may come a little after it: no connection is used before. */
-    private static final double SETTLE_MS = 1;
+    /**
+     * A second answer may come some milliseconds after the first; on a connection in use again it would be
+     * taken for the next one's. Longer would cost connections and not help: what comes later may come any time.
+     */
+    private static final double SETTLE_MS = 10;
 
     /**
      * What a client sent, beyond what the module decides by.
--- /dev/null
+++ b/sidecar/src/test/java/martenlatch/upstream/IdleConnectionsTest.java
@@ -0,0 +1,236 @@
+package martenlatch.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import martenlatch.host.Answer;
+import martenlatch.host.Complaints;
+import martenlatch.host.ServerList;
+import martenlatch.host.Time;
+import martenlatch.policy.Contract.Outcome;
+import martenlatch.policy.Contract.Server;
+import martenlatch.policy.Contract.State;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Real connections to an endpoint that the test plays, on a clock that it moves: when one is used again. */
+@Timeout(60)
+class IdleConnectionsTest {
+
+    private static final double IDLE_CLOSE_MS = 1000;
+    private static final long PATIENCE_S = 20;
+
+    private record End(Outcome outcome, Answer answer) {
+    }
+
+    private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+        .next();
+    private volatile double now = 1_000_000;
+    private final ServerSocket endpoint;
+    private final LinkedBlockingQueue<End> ends = new LinkedBlockingQueue<>();
+    private EndpointPool pool;
+
+    IdleConnectionsTest() throws Exception {
+        endpoint = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        // Timers never fire: what a loop that is held up would have done is not done.
+        Time time = new Time() {
+            @Override
+            public double now() {
+                return now;
+            }
+
+            @Override
+            public Timer after(double ms, Runnable task) {
+                return () -> { };
+            }
+        };
+        loop.submit(() -> {
+            pool = new EndpointPool(loop, time, new Complaints(time,
+                new PrintStream(OutputStream.nullOutputStream())), 5000, IDLE_CLOSE_MS, 100);
+            pool.update(new ServerList(1, true, List.of(new ServerList.Entry(new Server("s0", 0, 0, 0, 0,
+                State.READY, 1), new InetSocketAddress(endpoint.getInetAddress(), endpoint.getLocalPort())))));
+        }).get();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        endpoint.close();
+        loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private void send() {
+        pool.carrier(new EndpointPool.Message(HttpMethod.GET, "/api", new DefaultHttpHeaders(), new byte[0],
+            null)).send("s0", 5000, (outcome, answer) -> ends.add(new End(outcome, answer)));
+    }
+
+    private static void read(Socket socket) throws IOException {
+        int newlines = 0;
+        while (newlines < 2) {
+            int next = socket.getInputStream().read();
+            assertTrue(next >= 0, "a request was to come");
+            newlines = next == '\n' ? newlines + 1 : next == '\r' ? newlines : 0;
+        }
+    }
+
+    private static void answer(Socket socket, String body) throws IOException {
+        socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n"
+            + body).getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private void assertServed(String body) throws InterruptedException {
+        End end = ends.poll(PATIENCE_S, TimeUnit.SECONDS);
+        assertEquals(Outcome.OK, end.outcome());
+        assertEquals(body, new String(end.answer().body(), StandardCharsets.US_ASCII));
+    }
+
+    /** One request is served, and its connection stands idle. */
+    private Socket idle() throws Exception {
+        loop.submit(this::send).get();
+        Socket first = endpoint.accept();
+        read(first);
+        answer(first, "one");
+        assertServed("one");
+        return first;
+    }
+
+    @Test
+    void aConnectionIsUsedAgain() throws Exception {
+        try (Socket first = idle()) {
+            now += 11;
+            loop.submit(this::send).get();
+            read(first);
+            answer(first, "two");
+            assertServed("two");
+        }
+    }
+
+    /** Guards against a second answer, 9 ms after the first, that the next request is served with. */
+    @Test
+    void aSecondAnswerSomeMillisecondsLaterIsNobodys() throws Exception {
+        try (Socket first = idle()) {
+            now += 9;
+            loop.submit(this::send).get();
+            answer(first, "one again");
+            try (Socket second = endpoint.accept()) {
+                read(second);
+                answer(second, "two");
+                assertServed("two");
+                assertEquals(-1, first.getInputStream().read(), "and its connection is closed");
+            }
+        }
+    }
+
+    /** Guards against the same just before the next request, where the loop has not read it yet. */
+    @Test
+    void bytesThatCameJustBeforeTheNextRequestAreSeen() throws Exception {
+        try (Socket first = idle()) {
+            now += 500;
+            loop.submit(() -> {
+                answer(first, "one again");
+                send();
+                return null;
+            }).get();
+            try (Socket second = endpoint.accept()) {
+                read(second);
+                answer(second, "two");
+                assertServed("two");
+            }
+        }
+    }
+
+    /** Guards against a request on a connection that the endpoint closes between the choice and the write. */
+    @Test
+    void anEndThatTheLoopHasNotReadYetIsSeen() throws Exception {
+        Socket first = idle();
+        now += 500;
+        loop.submit(() -> {
+            first.close();
+            send();
+            return null;
+        }).get();
+        try (Socket second = endpoint.accept()) {
+            read(second);
+            answer(second, "two");
+            assertServed("two");
+        }
+    }
+
+    /** Guards against a loop that was held up past the time from which the endpoint may close. */
+    @Test
+    void aLoopThatWasHeldUpDoesNotUseWhatMayBeClosed() throws Exception {
+        try (Socket first = idle()) {
+            now += IDLE_CLOSE_MS - 300;
+            loop.submit(this::send).get();
+            try (Socket second = endpoint.accept()) {
+                read(second);
+                answer(second, "two");
+                assertServed("two");
+                assertEquals(-1, first.getInputStream().read(), "it was closed with nothing on it");
+            }
+        }
+    }
+
+    /** What the kernel took whole may have run, whatever the peer did with it; what it did not take has not. */
+    @Test
+    void onlyWhatWasNotWrittenWholeIsKnownNotToHaveRun() throws Exception {
+        loop.submit(this::send).get();
+        try (Socket first = endpoint.accept()) {
+            // Nothing of it is read: the reset comes from unread bytes.
+            while (first.getInputStream().available() == 0) {
+                Thread.onSpinWait();
+            }
+            first.setSoLinger(true, 0);
+        }
+        assertEquals(Outcome.RESET, ends.poll(PATIENCE_S, TimeUnit.SECONDS).outcome());
+        loop.submit(() -> pool.carrier(new EndpointPool.Message(HttpMethod.POST, "/api",
+            new DefaultHttpHeaders(), new byte[8 * 1024 * 1024], null)).send("s0", 5000,
+                (outcome, answer) -> ends.add(new End(outcome, answer)))).get();
+        try (Socket second = endpoint.accept()) {
+            while (second.getInputStream().available() == 0) {
+                Thread.onSpinWait();
+            }
+            second.setSoLinger(true, 0);
+        }
+        assertEquals(Outcome.CONNECT_ERROR, ends.poll(PATIENCE_S, TimeUnit.SECONDS).outcome());
+    }
+
+    /** An attempt that was given up while its connection came up leaves nothing behind. */
+    @Test
+    void aConnectionThatComesUpForNobodyIsClosed() throws Exception {
+        loop.submit(() -> {
+            pool.carrier(new EndpointPool.Message(HttpMethod.GET, "/api", new DefaultHttpHeaders(),
+                new byte[0], null)).send("s0", 5000, (outcome, answer) -> ends.add(new End(outcome, answer)))
+                .giveUp();
+        }).get();
+        loop.submit(this::send).get();
+        // The first that comes through asks: on the one that was given up nothing is ever sent.
+        for (int i = 0; i < 2; i++) {
+            try (Socket socket = endpoint.accept()) {
+                if (socket.getInputStream().read() >= 0) {
+                    read(socket);
+                    answer(socket, "two");
+                    break;
+                }
+            }
+        }
+        assertServed("two");
+        assertTrue(ends.isEmpty(), "it is told nothing");
+    }
+}
