--- a/sidecar/src/test/java/martenlatch/cli/MainTest.java
+++ b/sidecar/src/test/java/martenlatch/cli/MainTest.java
@@ -10,8 +10,11 @@
 import java.io.InputStream;
 import java.io.PrintStream;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -29,6 +32,9 @@
         "classes":[{"name":"read","effect":"repeatable","slo-ms":500,"hard-limit-ms":1000}],
         "limits":{"dial-timeout-ms":200,"idle-close-ms":15000,"try-limit":3},"rules":{}}}""";
 
+    /** Descriptors for a process that is to run out of them: its start needs some fifty. */
+    private static final int FEW = 120;
+
     @TempDir
     Path folder;
 
@@ -165,4 +171,66 @@
             process.destroyForcibly();
         }
     }
+
+    /**
+     * Guards against descriptors that run out in the middle of a send: what had no connection never ran, so an
+     * unsafe request is refused and not failed; and nothing is counted for a connection that never was.
+     */
+    @Test
+    void whatFindsNoDescriptorNeverRan() throws Exception {
+        try (ServerSocket endpoint = new ServerSocket(0)) {
+            String list = "{\"version\":1,\"full\":true,\"servers\":[{\"id\":\"s0\",\"addr\":\"127.0.0.1:"
+                + endpoint.getLocalPort() + "\",\"zone\":\"a\",\"state\":\"in_service\"}]}";
+            Path file = Files.writeString(folder.resolve("config.json"), CONFIG
+                .replace("{\"version\":0,\"full\":true,\"servers\":[]}", list)
+                .replace("repeatable", "once"));
+            ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n " + FEW + " && exec \"$@\"", "sh",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                "martenlatch.cli.Main", "serve");
+            builder.environment().put("GW_CONFIG", file.toString());
+            Process process = builder.redirectErrorStream(true).start();
+            List<Socket> clients = new ArrayList<>();
+            try (BufferedReader log = process.inputReader()) {
+                String line = log.readLine();
+                while (!line.contains("listens at")) {
+                    line = log.readLine();
+                }
+                int port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+                awaitLine(log, "serves at");
+                Socket asks = new Socket("127.0.0.1", port);
+                clients.add(asks);
+                assertTrue(ask(asks, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").contains(" 200 "));
+                // More connections than the process may hold: those beyond wait with the system.
+                for (int i = 0; i < FEW; i++) {
+                    clients.add(new Socket("127.0.0.1", port));
+                }
+                String answer = ask(asks, "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: r0\r\nX-Class: read\r\n"
+                    + "X-Deadline-Ms: 900\r\nContent-Length: 0\r\n\r\n");
+                assertTrue(answer.contains(" 503 "), answer);
+                awaitLine(log, "no connection");
+                awaitLine(log, "Too many open files");
+                process.toHandle().destroy();
+                assertEquals(0, process.waitFor());
+            } finally {
+                process.destroyForcibly();
+                for (Socket client : clients) {
+                    client.close();
+                }
+            }
+        }
+    }
+
+    private static String ask(Socket socket, String request) throws IOException {
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = socket.getInputStream().read();
+            assertTrue(next >= 0, "it ended after " + head);
+            head.append((char) next);
+        }
+        int length = Integer.parseInt(head.toString().replaceAll("(?s).*content-length: (\\d+).*", "$1"));
+        socket.getInputStream().readNBytes(length);
+        return head.toString();
+    }
 }
