Descriptors that run out in accept no longer end the event loop; drained in time for an heir

Cause: with no descriptor left the library's log writes a warning whose first line needs one (time zones' rules), and the error ended the event loop: the process lived on and answered nobody (seen with 'ulimit -n 120' and 120 clients: ExceptionInInitializerError in sidecar-1-1, tzdb.dat, Too many open files). Also: the wait for last answers ends when all is to be answered; a second more had an upgrade say that not all connections were empty (OperationsTest.theOldProcessLeaves..., seen to fail).

--- a/sidecar/src/main/java/martenlatch/front/http/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/front/http/Frontend.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
@@ -57,8 +58,6 @@
     private static final int MOST_AHEAD = 8;
     /** Connections above the bound that are still taken in, to refuse what they ask in good order. */
     public static final int OVERFLOW = 16;
-    /** Clients may take their last answers until the process is gone, which is a little later than this. */
-    private static final double LAST_TAKEN_MS = 1000;
     private static final double OVERFLOW_COOL_DOWN_MS = 1000;
     /** Headers that concern one connection only. */
     private static final List<CharSequence> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
@@ -119,9 +118,21 @@
             })
             .bind(address);
         listener = (ClientListener) bound.channel();
+        bound.addListener(at -> listener.pipeline().addLast(new Refusals()));
         return bound;
     }
 
+    /**
+     * Hears why nobody could be taken in, which is mostly that no descriptor is left: told here, as the log of
+     * the library below needs a descriptor for its first line, and without one ends the event loop.
+     */
+    private final class Refusals extends ChannelInboundHandlerAdapter {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            complaints.log("no connection is taken in", cause);
+        }
+    }
+
     /** The code has run often enough to be quick: from now on it may be used. */
     public void warm() {
         warm = true;
@@ -432,8 +443,8 @@
             ending = reply.isLast;
             if (ending) {
                 reader.stop();
-                // With the process all that has not been taken yet ends too: then nobody is hurried.
-                guard.endAfter(written, bodyCut, stopping ? endsAt + LAST_TAKEN_MS - time.now() : 0);
+                // With the process all that has not been taken yet ends too: until then nobody is hurried.
+                guard.endAfter(written, bodyCut, stopping ? endsAt - time.now() : 0);
             }
         }
 
--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TimeZone;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -107,6 +108,9 @@
     public static Sidecar start(Path file, Path shared, boolean withPeers, PrintStream log)
             throws IOException {
         SiteConfig config = SiteConfig.read(file);
+        // The library's log writes local times, whose rules are read from a file at the first line: in the
+        // middle of trouble there may be no descriptor for it, and the error would end the event loop.
+        TimeZone.getDefault();
         Sidecar sidecar = new Sidecar(file, log);
         try {
             sidecar.loop.submit(() -> sidecar.build(config, shared)).syncUninterruptibly();
--- a/sidecar/src/test/java/martenlatch/upstream/IdleConnectionsTest.java
+++ b/sidecar/src/test/java/martenlatch/upstream/IdleConnectionsTest.java
@@ -49,6 +49,7 @@
 
     IdleConnectionsTest() throws Exception {
         endpoint = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        endpoint.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_S));
         // Timers never fire: what a loop that is held up would have done is not done.
         Time time = new Time() {
             @Override
@@ -104,6 +105,7 @@
     private Socket idle() throws Exception {
         loop.submit(this::send).get();
         Socket first = endpoint.accept();
+        first.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_S));
         read(first);
         answer(first, "one");
         assertServed("one");
