--- a/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
@@ -352,7 +352,8 @@
         public void call(ListWatch.Call call) {
             int mine = life;
             long index = call.index().orElse(-1);
-            toDiscovery.send(() -> discovery.ask(name, index, call.pace().waitMs(), new SimDiscovery.Caller() {
+            long wait = call.pace().waitMs();
+            toDiscovery.send(() -> discovery.ask(name, index, wait, new SimDiscovery.Caller() {
                 @Override
                 public void answered(ServerList list) {
                     fromDiscovery.send(() -> enter(mine, () -> watch.answered(call.number(), list)));
--- a/sidecar/src/main/java/martenlatch/front/http/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/front/http/Frontend.java
@@ -123,8 +123,8 @@
     }
 
     /**
-     * Hears why nobody could be taken in, which is mostly that no descriptor is left: told here, as the log of
-     * the library below needs a descriptor for its first line, and without one ends the event loop.
+     * Hears why nobody could be taken in, which is mostly that no descriptor is left: told here, as the log
+     * of the library below needs a descriptor for its first line, and without one ends the event loop.
      */
     private final class Refusals extends ChannelInboundHandlerAdapter {
         @Override
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
@@ -53,7 +53,7 @@
     private static final String DEADLINE = "X-Deadline-Ms";
     /**
      * A second answer may come some milliseconds after the first; on a connection in use again it would be
-     * taken for the next one's. Longer would cost connections and not help: what comes later may come any time.
+     * taken for the next one's. Longer would cost connections and not help: what comes later comes any time.
      */
     private static final double SETTLE_MS = 10;
 
--- a/sidecar/src/test/java/martenlatch/cli/MainTest.java
+++ b/sidecar/src/test/java/martenlatch/cli/MainTest.java
@@ -176,8 +176,8 @@
     }
 
     /**
-     * Guards against descriptors that run out in the middle of a send: what had no connection never ran, so an
-     * unsafe request is refused and not failed; and nothing is counted for a connection that never was.
+     * Guards against descriptors that run out: the event loop goes on, and what had no connection never ran,
+     * so an unsafe request is refused and not failed.
      */
     @Test
     void whatFindsNoDescriptorNeverRan() throws Exception {
--- a/sidecar/src/test/java/martenlatch/upstream/IdleConnectionsTest.java
+++ b/sidecar/src/test/java/martenlatch/upstream/IdleConnectionsTest.java
@@ -65,8 +65,9 @@
         loop.submit(() -> {
             pool = new EndpointPool(loop, time, new Complaints(time,
                 new PrintStream(OutputStream.nullOutputStream())), 5000, IDLE_CLOSE_MS, 100);
-            pool.update(new ServerList(1, true, List.of(new ServerList.Entry(new Server("s0", 0, 0, 0, 0,
-                State.READY, 1), new InetSocketAddress(endpoint.getInetAddress(), endpoint.getLocalPort())))));
+            Server server = new Server("s0", 0, 0, 0, 0, State.READY, 1);
+            pool.update(new ServerList(1, true, List.of(new ServerList.Entry(server,
+                new InetSocketAddress(endpoint.getInetAddress(), endpoint.getLocalPort())))));
         }).get();
     }
 
@@ -189,7 +190,7 @@
         }
     }
 
-    /** What the kernel took whole may have run, whatever the peer did with it; what it did not take has not. */
+    /** What the kernel took whole may have run, whatever the peer did; what it did not take has not. */
     @Test
     void onlyWhatWasNotWrittenWholeIsKnownNotToHaveRun() throws Exception {
         loop.submit(this::send).get();
