--- a/sidecar/src/test/java/martenlatch/cli/MainTest.java
+++ b/sidecar/src/test/java/martenlatch/cli/MainTest.java
@@ -124,6 +124,44 @@
         }
     }
 
+    private static void signal(Process process, String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor());
+    }
+
+    /** Guards against signals that come while the program is still starting: each is heard, in its turn. */
+    @Test
+    void aReloadBeforeTheStartIsOverIsMadeAfterIt() throws Exception {
+        Process process = serve(CONFIG);
+        try (BufferedReader log = process.inputReader()) {
+            awaitLine(log, "listens at");
+            signal(process, "HUP");
+            awaitLine(log, "serves at");
+            awaitLine(log, "configuration read again");
+            process.toHandle().destroy();
+            assertEquals(0, process.waitFor());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    /** Guards against a stop that is lost, or made twice, where it comes while the program warms up. */
+    @Test
+    void aStopBeforeTheStartIsOverIsACleanExit() throws Exception {
+        Process process = serve(CONFIG);
+        try (BufferedReader log = process.inputReader()) {
+            awaitLine(log, "listens at");
+            signal(process, "TERM");
+            signal(process, "HUP");
+            signal(process, "TERM");
+            List<String> lines = log.lines().toList();
+            assertEquals(0, process.waitFor());
+            assertEquals(1, lines.stream().filter(line -> line.contains("draining")).count(), "" + lines);
+            assertTrue(lines.get(lines.size() - 1).contains("drained"), "" + lines);
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     private static void awaitLine(BufferedReader log, String part) throws IOException {
         String line = log.readLine();
         while (line != null && !line.contains(part)) {
--- a/sidecar/src/test/java/martenlatch/sidecar/RareOrdersTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/RareOrdersTest.java
@@ -148,6 +148,44 @@
         awaitOpen(0);
     }
 
+    /** Guards against what a burst of clients leaves behind who go in the middle of their bodies. */
+    @Test
+    void clientsThatLeaveInTheMiddleOfTheirBodiesLeaveNothing() throws Exception {
+        rig = new Rig(good(), good()).start();
+        List<Wire> clients = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            // Some bodies are collected, some passed on as they come.
+            int length = i % 2 == 0 ? 200_000 : 2_000_000;
+            clients.add(rig.client().send(rig.request("order", DEADLINE_MS)
+                .replace("Content-Length: 5\r\n\r\nhello", "Content-Length: " + length + "\r\n\r\n"
+                    + "x".repeat(100_000))));
+        }
+        Rig.await("bodies are coming", () -> bodyRoomTaken() > 0);
+        for (int i = 0; i < clients.size(); i++) {
+            if (i % 3 == 0) {
+                clients.get(i).reset();
+            } else {
+                clients.get(i).close();
+            }
+        }
+        awaitOpen(0);
+        Rig.await("the room of all bodies is free", () -> bodyRoomTaken() == 0);
+        for (Fake endpoint : rig.endpoints) {
+            Rig.await("its connections are gone", () -> endpoint.open.get() == 0);
+            endpoint.requests.forEach(request -> assertTrue(request.body().length() < Integer.parseInt(
+                request.headers().get("content-length")), "none came whole"));
+        }
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+    }
+
+    private long bodyRoomTaken() {
+        try {
+            return rig.sidecar.loop().submit(rig.sidecar::bodyRoomTaken).get();
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     // ---- shutdown ----
 
     /**
@@ -310,6 +348,31 @@
         }
     }
 
+    /** Guards against a list that is thought older than it is: what discovery says last holds. */
+    @Test
+    void aListIsTakenWhateverItsVersionAndForm() throws Exception {
+        LinkedBlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        try (Fake other = Fake.answering(200, "", "other")) {
+            rig = new Rig(good());
+            rig.askWithinMs = 20;
+            rig.discovery.script = (wire, request) -> Fake.answer(wire, 200, "", answers.take());
+            rig.start();
+            String first = rig.endpoints.get(0).address();
+            String indented = Rig.list(7, false, Rig.line(0, first, "terminating", 0),
+                Rig.line(1, other.address(), "in_service", 0)).replaceAll("([,{\\[])", "$1\n    ");
+            answers.add(indented);
+            answers.add(Rig.list(7, false));
+            Rig.await("both are taken", () -> rig.discovery.requests.size() == 3);
+            assertEquals("other", rig.ask("order", DEADLINE_MS).body());
+            answers.add(Rig.list(3, true, Rig.line(0, first, "in_service", 0)));
+            Rig.await("so is this", () -> rig.discovery.requests.size() == 4);
+            assertEquals("served", rig.ask("order", DEADLINE_MS).body());
+            assertEquals(List.of("index=1&", "index=7&", "index=7&", "index=3&"),
+                rig.discovery.requests.stream().map(request -> request.line()
+                    .replaceAll(".*(index=\\d+&).*", "$1")).toList());
+        }
+    }
+
     /**
      * Guards against a request that goes to an endpoint long after the list has said that it drains, because
      * its connection came up late; and against one that is given up although others could serve it.
