--- a/sidecar/src/main/java/martenlatch/front/http/ClientGuard.java
+++ b/sidecar/src/main/java/martenlatch/front/http/ClientGuard.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
@@ -56,6 +57,8 @@
     private boolean begun;
     private boolean inBody;
     private boolean waiting;
+    /** Something has come since it was last looked for. */
+    private boolean heard;
     private boolean deaf;
     /** The last answer has been handed over. */
     private boolean ended;
@@ -109,11 +112,25 @@
             await(ctx, TICK_MS);
         } else if (begun && !deaf) {
             ctx.fireUserEventTriggered(LATE);
-        } else {
+        } else if (deaf || !readNow()) {
             channel.close();
+        } else if (begun && !awaited) {
+            await(ctx, HEAD_MS);
         }
     }
 
+    /**
+     * Reads what has come and waits with the system, on the event loop and not while anything is read: who
+     * closes over it cuts a request off that was there. True if there was something.
+     */
+    boolean readNow() {
+        heard = false;
+        if (channel.isActive()) {
+            ((AbstractNioChannel) channel).unsafe().read();
+        }
+        return heard;
+    }
+
     /** Whether a body has come fast enough; time in which we did not read is not the client's. */
     private boolean keepsPace(int ms) {
         if (channel.config().isAutoRead()) {
@@ -125,6 +142,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) {
         int size = ((ByteBuf) bytes).readableBytes();
+        heard = true;
         if (deaf) {
             ((ByteBuf) bytes).release();
             // Before the last answer is written a flood is read for the end behind it, and nothing is kept.
--- a/sidecar/src/main/java/martenlatch/front/http/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/front/http/Frontend.java
@@ -201,8 +201,10 @@
 
     private void letGo(boolean patient) {
         for (Connection connection : List.copyOf(connections)) {
-            if (connection.replies.isEmpty() && !connection.ending
-                    && !(patient && connection.guard.isInRequest())) {
+            if (connection.mayGo(patient)) {
+                connection.guard.readNow();
+            }
+            if (connection.mayGo(patient)) {
                 connection.channel.close();
             }
         }
@@ -221,8 +223,9 @@
         return room.taken();
     }
 
+    /** Whether nobody is left, nor can come any more: who waits to be accepted has to be taken in first. */
     public boolean isEmpty() {
-        return connections.isEmpty();
+        return connections.isEmpty() && !listener.isOpen();
     }
 
     /** Makes room for a new connection, if there is none; first those go that never asked for anything. */
@@ -234,8 +237,11 @@
             }
             Connection gone = first.iterator().next();
             first.remove(gone);
-            connections.remove(gone);
-            gone.channel.close();
+            gone.guard.readNow();
+            if (gone.replies.isEmpty()) {
+                connections.remove(gone);
+                gone.channel.close();
+            }
         }
         return true;
     }
@@ -273,6 +279,11 @@
             reader = new RequestReader(guard, room, this);
         }
 
+        /** Whether nobody waits for anything on it; the {@code patient} also let a client finish asking. */
+        private boolean mayGo(boolean patient) {
+            return replies.isEmpty() && !ending && !(patient && guard.isInRequest());
+        }
+
         void addTo(ChannelPipeline pipeline) {
             pipeline.addLast(guard, new HttpRequestDecoder(), new HttpResponseEncoder(), reader, this);
         }
--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -76,7 +76,7 @@
     private EndpointPool endpoints;
     private InetSocketAddress address;
     private InetSocketAddress adminAddress;
-    private long mostDeadlineMs;
+    private volatile long mostDeadlineMs;
     private Exchange exchange;
     private SplittableRandom random;
     /** Null where the sidecars say nothing to each other. */
@@ -197,6 +197,8 @@
     }
 
     private void mindDeadlines() {
+        // Those that hold now: who stops this process goes by them, whatever they were before.
+        mostDeadlineMs = 0;
         for (RequestClass kind : config.settings().classes()) {
             mostDeadlineMs = Math.max(mostDeadlineMs, (long) kind.deadlineMs());
         }
@@ -300,6 +302,7 @@
             if (peers != null) {
                 peers.leave();
             }
+            // What is due at once is done in this order: who waits to be accepted comes before the last call.
             if (hasHeir) {
                 log.println("martenlatch: another process serves at this address");
                 frontend.handOver(endMs);
@@ -307,13 +310,13 @@
                 frontend.drain(endMs);
                 loop.schedule(frontend::closeListener, LINGER_MS, TimeUnit.MILLISECONDS);
             }
+            loop.schedule(frontend::finish, lastCallMs, TimeUnit.MILLISECONDS);
+            loop.scheduleWithFixedDelay(() -> {
+                if (frontend.isEmpty()) {
+                    empty.countDown();
+                }
+            }, LINGER_MS, EMPTY_POLL_MS, TimeUnit.MILLISECONDS);
         });
-        loop.schedule(frontend::finish, lastCallMs, TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(() -> {
-            if (frontend.isEmpty()) {
-                empty.countDown();
-            }
-        }, LINGER_MS, EMPTY_POLL_MS, TimeUnit.MILLISECONDS);
         try {
             // Every request has had its answer by then; who does not take it is not waited for.
             empty.await(endMs + DRAIN_SLACK_MS / 2, TimeUnit.MILLISECONDS);
