A call to discovery that crosses its connection's end is made again; signals before a list

Cause, by reading: a discovery that closes a connection behind its answer, without saying so, has the next call of the watch written to it, and DiscoveryClient.channelInactive told that as a failure: with lists asked the module then waits up to half of what the site gives for asking before it watches again. Change: within the 200 ms in which a watch goes on, and with no byte of an answer, the call is made again on a new connection, once; a refused connect then is the failure it is. Now the first process has its port from the system and the second is told it.

--- a/sidecar/src/main/java/martenlatch/membership/DiscoveryClient.java
+++ b/sidecar/src/main/java/martenlatch/membership/DiscoveryClient.java
@@ -34,8 +34,15 @@
 public final class DiscoveryClient implements ListWatch.Line {
 
     private static final int MOST_BODY = 4 * 1024 * 1024;
+    /**
+     * A connection that has answered may be closed behind its answer, and the next call cross that: it is
+     * made again at once, while the watch goes on by the protocol. Later a connection's end is discovery's,
+     * and who hears of it must not come back together with all others.
+     */
+    private static final double CROSSED_MS = 200;
 
     private final EventLoop loop;
+    private final Time time;
     private final RegistryList.Names names;
     private final ListWatch watch;
     private final Bootstrap bootstrap;
@@ -43,10 +50,13 @@
     private Channel channel;
     /** The call that is out, or null. */
     private ListWatch.Call out;
+    /** Until when the end of the connection says nothing of the call that is out on it. */
+    private double crossedUntil;
 
     public DiscoveryClient(EventLoop loop, Time time, InetSocketAddress address, RegistryList.Names names,
             Complaints complaints, Supplier<Pace> pace) {
         this.loop = loop;
+        this.time = time;
         this.address = address;
         this.names = names;
         watch = new ListWatch(time, this, complaints, pace);
@@ -90,9 +100,15 @@
     public void call(ListWatch.Call call) {
         out = call;
         if (channel != null && channel.isActive()) {
+            crossedUntil = time.now() + CROSSED_MS;
             ask();
             return;
         }
+        connect(call);
+    }
+
+    private void connect(ListWatch.Call call) {
+        crossedUntil = 0;
         ChannelFuture connecting = bootstrap.connect(address);
         if (connecting.isDone() && !connecting.isSuccess()) {
             // There is no descriptor for it, and no event loop that would tell; nor is it told from within.
@@ -123,6 +139,16 @@
         channel.writeAndFlush(request);
     }
 
+    /** The connection has ended with a call out on it. */
+    private void ended(Object why) {
+        if (out != null && time.now() < crossedUntil) {
+            channel = null;
+            connect(out);
+        } else {
+            fail(why);
+        }
+    }
+
     private void fail(Object why) {
         ListWatch.Call failed = out;
         drop();
@@ -146,6 +172,7 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object bytes) {
             if (ctx.channel() == channel && out != null) {
+                crossedUntil = 0;
                 watch.begun(out.number());
             }
             ctx.fireChannelRead(bytes);
@@ -183,13 +210,15 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (ctx.channel() == channel) {
-                fail("the connection ended");
+                ended("the connection ended");
             }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (ctx.channel() == channel) {
+            if (ctx.channel() == channel && cause instanceof IOException) {
+                ended(cause);
+            } else if (ctx.channel() == channel) {
                 fail(cause);
             }
             ctx.close();
--- a/sidecar/src/test/java/martenlatch/cli/MainTest.java
+++ b/sidecar/src/test/java/martenlatch/cli/MainTest.java
@@ -71,19 +71,17 @@
      */
     @Test
     void aSecondProcessTakesOver() throws Exception {
-        int port;
-        try (ServerSocket free = new ServerSocket(0)) {
-            port = free.getLocalPort();
-        }
-        String config = CONFIG.replace("\"listen\":\"127.0.0.1:0\"",
-            "\"listen\":\"127.0.0.1:" + port + "\",\"admin\":\"127.0.0.1:0\"");
+        String listen = "\"listen\":\"127.0.0.1:0\"";
+        String config = CONFIG.replace(listen, listen + ",\"admin\":\"127.0.0.1:0\"");
         Process old = serve(config);
         try (BufferedReader log = old.inputReader()) {
             // Alone it listens at once; beside another one only when it is warm.
-            awaitLine(log, "listens at");
+            String told = awaitLine(log, "listens at");
             awaitLine(log, "warm after");
             awaitLine(log, "serves at");
-            Process heir = serve(config);
+            // The system gave the port: one that the test had found free could be taken before the start.
+            Process heir = serve(config.replace("\"listen\":\"127.0.0.1:0",
+                "\"listen\":\"127.0.0.1" + told.substring(told.lastIndexOf(':'))));
             try (BufferedReader heirLog = heir.inputReader()) {
                 awaitLine(heirLog, "warm after");
                 awaitLine(heirLog, "listens at");
@@ -162,12 +160,49 @@
         }
     }
 
-    private static void awaitLine(BufferedReader log, String part) throws IOException {
+    /**
+     * Guards against signals that are lost, or end the program as a crash, while it has neither a list nor a
+     * listener: where lists are pushed it waits for the agent's first word.
+     */
+    @Test
+    void aStopBeforeTheFirstListIsACleanExit() throws Exception {
+        try (ServerSocket agent = new ServerSocket(0)) {
+            Process process = serve(CONFIG.replace("on_request", "pushed")
+                .replace("127.0.0.1:1\"", "127.0.0.1:" + agent.getLocalPort() + "\""));
+            // It never answers. Who calls it has built its parts, and does not listen yet.
+            try (BufferedReader log = process.inputReader(); Socket calls = agent.accept()) {
+                signal(process, "HUP");
+                signal(process, "TERM");
+                signal(process, "TERM");
+                List<String> lines = log.lines().toList();
+                assertEquals(0, process.waitFor());
+                int listens = place(lines, "listens at");
+                int draining = place(lines, "draining");
+                assertTrue(0 <= listens && listens < draining, "" + lines);
+                assertTrue(draining < place(lines, "martenlatch: drained"), "" + lines);
+                assertEquals(1, lines.stream().filter(line -> line.contains("draining")).count());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static int place(List<String> lines, String part) {
+        for (int i = 0; i < lines.size(); i++) {
+            if (lines.get(i).contains(part)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    private static String awaitLine(BufferedReader log, String part) throws IOException {
         String line = log.readLine();
         while (line != null && !line.contains(part)) {
             line = log.readLine();
         }
         assertNotEquals(null, line, "it goes on to say: " + part);
+        return line;
     }
 
     /**
