A keyed repeat is not sent after its window, nor a rest for a client that left; 429 is no refusal

What an endpoint has half of has not run, so for a client that has left the rest need not be sent, where cancelling is off too. - An endpoint's 429 was passed on as it is, and 429 from us says that trying again is harmless; only X-Not-Run says that. The same in the external processor. Change: Carrier.send is told the time after which nothing may be sent (0.95 of the window from the first attempt that may have run); the pool ends what waits by then as never sent, by a timer and again just before the write; withdraw goes by the last byte; 429 counts as a failure. Simulated sidecars and the external processor keep the same bound. Tests: RareOrdersTest.aKeyedRepeat..., IdleConnectionsTest (2), SpoiltAnswerTest.anEndpointsTooMany...; each seen to fail with its lines taken out. RareOrdersTest.whereListsArePushed... no longer listens at a port that it had found free.

--- a/extproc/src/main/java/martenlatch/front/extproc/ProxyCall.java
+++ b/extproc/src/main/java/martenlatch/front/extproc/ProxyCall.java
@@ -20,16 +20,19 @@
         private final String server;
         private final double sentAt;
         private final double waitMs;
+        private final double notAfter;
         private final Carrier.Ending ending;
         private boolean handedOut;
         /** Before it none of the request's attempts can have run. */
         private boolean first;
 
-        Try(ProxyCall call, String server, double sentAt, double waitMs, Carrier.Ending ending) {
+        Try(ProxyCall call, String server, double sentAt, double waitMs, double notAfter,
+                Carrier.Ending ending) {
             this.call = call;
             this.server = server;
             this.sentAt = sentAt;
             this.waitMs = waitMs;
+            this.notAfter = notAfter;
             this.ending = ending;
         }
 
@@ -87,8 +90,8 @@
     // ---- what the host asks for ----
 
     @Override
-    public Attempt send(String server, double waitMs, Ending ending) {
-        Try made = new Try(this, server, front.time.now(), waitMs, ending);
+    public Attempt send(String server, double waitMs, double notAfter, Ending ending) {
+        Try made = new Try(this, server, front.time.now(), waitMs, notAfter, ending);
         if (asking != null) {
             handOut(made);
         } else {
@@ -126,6 +129,10 @@
             return;
         }
         double now = front.time.now();
+        if (now > made.notAfter) {
+            made.ending.ended(Outcome.IGNORED, null);
+            return;
+        }
         Consultation proxy = asking;
         asking = null;
         holder = proxy;
--- a/extproc/src/main/java/martenlatch/front/extproc/ProxyOutcome.java
+++ b/extproc/src/main/java/martenlatch/front/extproc/ProxyOutcome.java
@@ -23,6 +23,9 @@
     /** The largest whole number that a protobuf number surely keeps. */
     private static final double MOST_BITS = 1L << 53;
 
+    /** Means to a client that it may safely ask again. */
+    private static final int TOO_MANY = 429;
+
     private ProxyOutcome() {
     }
 
@@ -71,7 +74,8 @@
         if ((status == 503 || status == 504) && notRun) {
             return Outcome.QUEUE_FULL;
         }
-        return status >= 400 && status < 500 ? Outcome.IGNORED : Outcome.FAILED;
+        // Passed on, 429 would be our word that the request has not run, and nothing here says so.
+        return status >= 400 && status < 500 && status != TOO_MANY ? Outcome.IGNORED : Outcome.FAILED;
     }
 
     /** All flags that are told apart, for those that stand in for a proxy. */
--- a/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
@@ -212,7 +212,8 @@
             Request taken = request.deadlineMs() <= latest ? request
                 : new Request(request.id(), request.requestClass(), request.tenant(), latest,
                 request.resent());
-            exchange.request(taken, (server, wait, ending) -> send(request.id(), server, ending), client);
+            exchange.request(taken, (server, wait, notAfter, ending) ->
+                send(request.id(), server, notAfter, ending), client);
         });
     }
 
@@ -290,7 +291,7 @@
         }
     }
 
-    private Carrier.Attempt send(String id, String server, Carrier.Ending ending) {
+    private Carrier.Attempt send(String id, String server, double notAfter, Carrier.Ending ending) {
         Way way = way(server);
         Sent sent = new Sent();
         int mine = life;
@@ -312,7 +313,10 @@
                     return;
                 }
                 failed.cancel();
-                if (way.endpoint.isAlive()) {
+                if (time.now() > notAfter) {
+                    sent.over = true;
+                    ending.ended(Outcome.IGNORED, null);
+                } else if (way.endpoint.isAlive()) {
                     write(way, id, sent, ending, mine);
                 } else {
                     sent.over = true;
--- a/sidecar/src/main/java/martenlatch/host/Carrier.java
+++ b/sidecar/src/main/java/martenlatch/host/Carrier.java
@@ -11,7 +11,7 @@
         boolean giveUp();
 
         /**
-         * Ends the attempt if nothing of it has been sent yet; true if so, and then nothing of it will be.
+         * Ends the attempt if its last byte is not on its way yet; true if so, and then it never runs.
          */
         boolean withdraw();
     }
@@ -27,6 +27,8 @@
      *
      * @param server the endpoint's id
      * @param waitMs how long it will be waited for, in milliseconds; above 0
+     * @param notAfter the time after which it must not be sent on any more, however long it had to wait for
+     *     that: what is not on its way by then ends as {@code IGNORED}; positive infinity for any time
      */
-    Attempt send(String server, double waitMs, Ending ending);
+    Attempt send(String server, double waitMs, double notAfter, Ending ending);
 }
--- a/sidecar/src/main/java/martenlatch/host/Exchange.java
+++ b/sidecar/src/main/java/martenlatch/host/Exchange.java
@@ -8,12 +8,14 @@
 import java.util.Map;
 import java.util.Set;
 import martenlatch.policy.Contract.Actions;
+import martenlatch.policy.Contract.Effect;
 import martenlatch.policy.Contract.Events;
 import martenlatch.policy.Contract.Finished;
 import martenlatch.policy.Contract.ListKind;
 import martenlatch.policy.Contract.Load;
 import martenlatch.policy.Contract.Outcome;
 import martenlatch.policy.Contract.Request;
+import martenlatch.policy.Contract.RequestClass;
 import martenlatch.policy.Contract.Settings;
 import martenlatch.policy.Decide;
 
@@ -25,6 +27,8 @@
 
     /** So long after its deadline a request that nothing has concluded fails. */
     private static final double OVERDUE_MS = 5;
+    /** The last of the time in which an endpoint drops a repeat belongs to the way there. */
+    private static final double WINDOW_SHARE = 0.95;
     /** Where lists are pushed, the agent is asked again after this pause when a call has failed. */
     private static final int AGENT_PAUSE_MS = 100;
 
@@ -40,7 +44,8 @@
         final Request request;
         final Carrier carrier;
         final Client client;
-        /** As the settings had it when the request came. */
+        /** As the settings had them when the request came. */
+        final RequestClass kind;
         final int mostTries;
         final List<Try> tries = new ArrayList<>(2);
         Time.Timer overdue;
@@ -52,14 +57,28 @@
         /** Attempts whose end the module has not been told yet. */
         int out;
 
-        Open(Request request, double takenAt, int mostTries, Carrier carrier, Client client) {
+        Open(Request request, double takenAt, Settings settings, Carrier carrier, Client client) {
             this.request = request;
             this.takenAt = takenAt;
             deadlineMs = request.deadlineMs();
-            this.mostTries = mostTries;
+            kind = settings.classes().get(request.requestClass());
+            mostTries = settings.limits().tries();
             this.carrier = carrier;
             this.client = client;
         }
+
+        /**
+         * The time after which no attempt more may be sent. The decision is made in time, but a connection
+         * that comes up late would carry it out when the endpoints have forgotten the first one.
+         */
+        double notAfter() {
+            for (Try made : tries) {
+                if (kind.effect() == Effect.BY_KEY && !made.neverRan) {
+                    return made.sentAt + kind.windowMs() * WINDOW_SHARE;
+                }
+            }
+            return Double.POSITIVE_INFINITY;
+        }
     }
 
     /** One attempt of a request. */
@@ -71,6 +90,8 @@
         Carrier.Attempt attempt;
         Time.Timer timeout;
         boolean ended;
+        /** Known not to have run, and not to run any more. */
+        boolean neverRan;
 
         Try(int number, String server, double sentAt, double waitMs) {
             this.number = number;
@@ -146,7 +167,7 @@
      * up.
      */
     public void request(Request request, Carrier carrier, Client client, boolean coming) {
-        Open open = new Open(request, time.now(), settings.limits().tries(), carrier, client);
+        Open open = new Open(request, time.now(), settings, carrier, client);
         table.put(request.id(), open);
         witness.taken(request);
         open.coming = coming;
@@ -297,6 +318,7 @@
         double now = time.now();
         double left = open.deadlineMs - (open.coming ? open.takenAt : now);
         double wait = timeoutMs == 0 ? left : Math.min(timeoutMs, left);
+        double notAfter = open.notAfter();
         Try made = new Try(open.tries.size(), server, now, wait);
         open.tries.add(made);
         open.out++;
@@ -310,7 +332,7 @@
                 made.timeout = time.after(wait, () -> giveUp(open, made, Outcome.TIMED_OUT));
             }
             try {
-                made.attempt = open.carrier.send(server, wait, (outcome, answer) -> {
+                made.attempt = open.carrier.send(server, wait, notAfter, (outcome, answer) -> {
                     if (answer != null && !open.concluded) {
                         pass(open, outcome, answer);
                     } else if (answer != null && answer.rest() != null) {
@@ -350,6 +372,7 @@
             return;
         }
         made.ended = true;
+        made.neverRan = outcome.neverRan();
         if (made.timeout != null) {
             made.timeout.cancel();
         }
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
@@ -49,6 +49,8 @@
     private static final int SWEEPS = 10;
     /** An endpoint that is well takes some of a body within this time. */
     private static final int STUCK_MS = 2000;
+    /** Means to a client that it may safely ask again. */
+    private static final int TOO_MANY = 429;
     /** Tells the endpoint how long its answer is waited for, in whole milliseconds. */
     private static final String DEADLINE = "X-Deadline-Ms";
     /**
@@ -73,17 +75,39 @@
         private final Upload upload;
         private Carrier.Ending ending;
         private Connection connection;
-        /** Something of it has been handed to the network. */
-        private boolean begun;
-        /** The last byte has been: from here on the request may have run. */
+        private final double notAfter;
+        private Time.Timer tooLate;
+        /** The system has taken the last byte: from here on the request may have run. */
         private boolean written;
 
-        private Attempt(HttpRequest request, Upload upload, Carrier.Ending ending) {
+        private Attempt(HttpRequest request, Upload upload, double notAfter, Carrier.Ending ending) {
             this.request = request;
             this.upload = upload;
+            this.notAfter = notAfter;
             this.ending = ending;
         }
 
+        /** Ends it unless it is on its way by the time after which it must not be. */
+        private void mindTime() {
+            if (ending != null && !written && notAfter < Double.POSITIVE_INFINITY) {
+                tooLate = time.after(notAfter - time.now(), this::expire);
+            }
+        }
+
+        private void expire() {
+            Carrier.Ending told = ending;
+            if (withdraw()) {
+                told.ended(Outcome.IGNORED, null);
+            }
+        }
+
+        private void over() {
+            ending = null;
+            if (tooLate != null) {
+                tooLate.cancel();
+            }
+        }
+
         /** It will not be written any more. */
         private void drop() {
             ReferenceCountUtil.release(request);
@@ -92,24 +116,24 @@
         /** Closes the connection, which tells the endpoint. */
         @Override
         public boolean giveUp() {
-            ending = null;
+            over();
             connection.close();
             return written;
         }
 
         @Override
         public boolean withdraw() {
-            if (begun || ending == null) {
+            if (written || ending == null) {
                 return false;
             }
-            ending = null;
+            over();
             connection.close();
             return true;
         }
 
         private void end(Outcome outcome, Answer answer) {
             Carrier.Ending told = ending;
-            ending = null;
+            over();
             if (told != null) {
                 told.ended(outcome, answer);
             }
@@ -313,7 +337,7 @@
         }
 
         @Override
-        public Carrier.Attempt send(String server, double waitMs, Ending ending) {
+        public Carrier.Attempt send(String server, double waitMs, double notAfter, Ending ending) {
             if (message.upload() != null && !message.upload().isFresh()) {
                 // A part of the body is gone: nothing is sent, and the endpoint is not to blame.
                 ending.ended(Outcome.IGNORED, null);
@@ -323,7 +347,7 @@
             HttpHeaders headers = sent ? message.headers().copy() : message.headers();
             sent = true;
             return EndpointPool.this.send(server, new EndpointPool.Attempt(request(message, headers, waitMs),
-                message.upload(), ending));
+                message.upload(), notAfter, ending));
         }
     }
 
@@ -357,6 +381,7 @@
         } else {
             new Connection(endpoint).open(attempt);
         }
+        attempt.mindTime();
         return attempt;
     }
 
@@ -454,6 +479,10 @@
                 } else if (first.ending == null) {
                     first.drop();
                     channel.close();
+                } else if (time.now() > first.notAfter) {
+                    // Its timer is due too, and comes after what the network has to tell.
+                    first.drop();
+                    first.expire();
                 } else {
                     send(first);
                 }
@@ -470,7 +499,6 @@
 
         private void send(Attempt sent) {
             if (sent.upload == null) {
-                sent.begun = true;
                 channel.writeAndFlush(sent.request).addListener(written ->
                     written(sent, written.isSuccess()));
                 return;
@@ -482,7 +510,6 @@
                 return;
             }
             uploading = sent;
-            sent.begun = true;
             channel.writeAndFlush(sent.request);
             // An endpoint may turn a request away before all of it has come.
             reader.expect();
@@ -491,6 +518,9 @@
 
         private void written(Attempt sent, boolean well) {
             sent.written = well;
+            if (well && sent.tooLate != null) {
+                sent.tooLate.cancel();
+            }
             if (well) {
                 reader.expect();
             } else {
@@ -657,7 +687,8 @@
         if ((status == 503 || status == 504) && answer.notRun()) {
             return Outcome.QUEUE_FULL;
         }
-        // The request was turned away for what it is, which says nothing of the endpoint.
-        return status >= 400 && status < 500 ? Outcome.IGNORED : Outcome.FAILED;
+        // The request was turned away for what it is, which says nothing of the endpoint. But 429 passed on
+        // would be our word that it has not run, and nothing here says so.
+        return status >= 400 && status < 500 && status != TOO_MANY ? Outcome.IGNORED : Outcome.FAILED;
     }
 }
--- a/sidecar/src/test/java/martenlatch/sidecar/LateEndpoint.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/LateEndpoint.java
@@ -24,12 +24,22 @@
     private final List<Socket> inQueue = new ArrayList<>();
 
     LateEndpoint() throws IOException {
-        listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        this(queue());
+    }
+
+    /** One at a place that has taken connections before. */
+    LateEndpoint(ServerSocket place) throws IOException {
+        listener = place;
         while (knock()) {
             continue;
         }
     }
 
+    /** A place whose queue is short. */
+    static ServerSocket queue() throws IOException {
+        return new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+    }
+
     private boolean knock() throws IOException {
         Socket socket = new Socket();
         try {
--- a/sidecar/src/test/java/martenlatch/sidecar/RareOrdersTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/RareOrdersTest.java
@@ -307,6 +307,43 @@
         }
     }
 
+    /**
+     * Guards against a watch that is over because discovery closes each connection behind its answer, without
+     * a word, and the next call crosses that.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"fin", "reset"})
+    void aCallThatCrossesTheEndOfItsConnectionIsMadeAgain(String how) throws Exception {
+        rig = new Rig(good());
+        rig.discovery.script = (wire, request) -> {
+            int version = rig.discovery.requests.size();
+            if (version > 5) {
+                wire.awaitEnd();
+            }
+            Fake.answer(wire, 200, "", Rig.list(version + 1, true,
+                Rig.line(0, rig.endpoints.get(0).address(), "in_service", 0)));
+            if (how.equals("reset")) {
+                // Only when the answer has been taken: a reset may overtake it.
+                Rig.await("the next call is here", () -> available(wire) > 0);
+                wire.reset();
+            } else {
+                wire.close();
+            }
+        };
+        rig.askWithinMs = 2000;
+        rig.start();
+        Rig.await("it goes on asking", () -> rig.discovery.requests.size() > 5);
+        assertFalse(rig.logged().contains("discovery failed"), rig.logged());
+    }
+
+    private static int available(Wire wire) {
+        try {
+            return wire.socket.getInputStream().available();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** Guards against half an answer that is waited for as long as a whole one. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n",
@@ -409,9 +446,8 @@
     @Test
     void whereListsArePushedTheAgentIsHeardBeforeTheFirstClient() throws Exception {
         List<String> seen = Collections.synchronizedList(new ArrayList<>());
-        try (ServerSocket free = new ServerSocket(0); Fake other = good()) {
+        try (Fake other = good()) {
             rig = new Rig(good());
-            rig.listen = "127.0.0.1:" + free.getLocalPort();
             rig.membership = "pushed";
             CountDownLatch looked = new CountDownLatch(1);
             rig.discovery.script = (wire, request) -> {
@@ -427,7 +463,6 @@
                     Rig.line(0, rig.endpoints.get(0).address(), "terminating", 0),
                     Rig.line(1, other.address(), "in_service", 0)));
             };
-            free.close();
             rig.start();
             assertEquals("waits", seen.get(0));
             assertEquals(200, rig.ask("order", DEADLINE_MS).status());
@@ -445,6 +480,38 @@
         assertTrue(rig.discovery.requests.size() > 1, "it is asked again and again");
     }
 
+    // ---- repeats ----
+
+    /**
+     * Guards against a repeat that is decided on in time and sent when the endpoints have forgotten the first
+     * attempt: its connection comes up late.
+     */
+    @Test
+    void aKeyedRepeatIsNotSentAfterItsWindow() throws Exception {
+        try (ServerSocket place = LateEndpoint.queue()) {
+            before("127.0.0.1:" + place.getLocalPort());
+            rig.dialMs = 30_000;
+            rig.windowMs = 3000;
+            rig.start();
+            long began = System.nanoTime();
+            Wire client = rig.client().send(rig.request("move", DEADLINE_MS));
+            Wire first = new Wire(place.accept());
+            first.read();
+            try (LateEndpoint late = new LateEndpoint(place)) {
+                first.reset();
+                Wire.Message answer = client.read();
+                assertEquals(503, answer.status(), "every endpoint drops it when it is sent again in time");
+                assertTrue(sinceMs(began) >= 2500, "it was to be repeated within the window");
+                assertTrue(sinceMs(began) < NOTICED_MS, "given up is answered at once");
+                late.open();
+                assertEquals("late", rig.ask("order", DEADLINE_MS).body());
+                assertEquals(List.of("r1"), late.requests.stream()
+                    .map(request -> request.headers().get("x-request-id")).toList());
+            }
+            client.close();
+        }
+    }
+
     // ---- a client and its answer ----
 
     /** A client that ends its side has left, as one that closes: nobody can tell them apart. */
--- a/sidecar/src/test/java/martenlatch/sidecar/Rig.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/Rig.java
@@ -28,6 +28,8 @@
     int sockets = 1024;
     int aimMs = 9000;
     int dialMs = 2000;
+    /** For so long endpoints drop repeats of the class "move". */
+    int windowMs = 9000;
     boolean cancel = true;
     String membership = "on_request";
     /** The folder that outlives the sidecar, and where it takes operators' calls; none at first. */
@@ -68,7 +70,9 @@
             "settings":{"azs":["a"],"models":["m"],"replicas-of-me":1,"slot-no":0,"tier":0,"zone":0,
             "membership-mode":"%s","classes":[
             {"name":"read","effect":"repeatable","group":"all","hard-limit-ms":9000,"slo-ms":%d,"worth":1},
-            {"name":"order","effect":"once","group":"all","hard-limit-ms":9000,"slo-ms":%d,"worth":1}],
+            {"name":"order","effect":"once","group":"all","hard-limit-ms":9000,"slo-ms":%d,"worth":1},
+            {"name":"move","effect":"by_key","group":"all","memory-span-ms":%d,"hard-limit-ms":9000,
+            "slo-ms":%d,"worth":1}],
             "limits":{"cancel":%b,"dial-timeout-ms":%d,"idle-close-ms":%d,"max-retry-after-ms":2000,
             "parallel-tries":true,"retry-after":false,"try-limit":3},
             "rules":{"cold-share":0.5,"cold-ms":1000,"tip-multiple":3,"fall-ms":1000,"drain-grace-ms":500,
@@ -77,8 +81,8 @@
                 + (peers.isEmpty() ? "" : "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\""
                 + String.join("\",\"", peers) + "\"],"), discovery.address(), sockets,
                 list(1, true,
-                lines.toArray(String[]::new)), membership, aimMs, aimMs, cancel, dialMs, idleCloseMs,
-                askWithinMs);
+                lines.toArray(String[]::new)), membership, aimMs, aimMs, windowMs, aimMs, cancel,
+                dialMs, idleCloseMs, askWithinMs);
     }
 
     Rig start() throws IOException {
--- a/sidecar/src/test/java/martenlatch/sidecar/SpoiltAnswerTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SpoiltAnswerTest.java
@@ -53,6 +53,16 @@
         assertEquals(1, rig.attempts());
     }
 
+    /** Guards against an endpoint's 429 that becomes our word that an unsafe request has not run. */
+    @Test
+    void anEndpointsTooManyIsNoRefusalOfOurs() throws Exception {
+        start((wire, request) -> Fake.answer(wire, 429, "Retry-After: 1\r\n", "busy"));
+        assertEquals(502, rig.ask("order", DEADLINE_MS).status());
+        assertEquals(1, rig.attempts());
+        // One that is safe to repeat is refused, as after every failure.
+        assertEquals(503, rig.ask("read", DEADLINE_MS).status());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {OK + "%sX-Pad: pppppppppppppppppppp\r\n", "%sHTTP/1.1 103 Early Hints\r\n\r\n"})
     void anAnswerWithoutEndIsCutShort(String pattern) throws Exception {
--- a/sidecar/src/test/java/martenlatch/upstream/IdleConnectionsTest.java
+++ b/sidecar/src/test/java/martenlatch/upstream/IdleConnectionsTest.java
@@ -1,6 +1,7 @@
 package martenlatch.upstream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
@@ -20,6 +21,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import martenlatch.host.Answer;
+import martenlatch.host.Carrier;
 import martenlatch.host.Complaints;
 import martenlatch.host.ServerList;
 import martenlatch.host.Time;
@@ -36,6 +38,8 @@
 
     private static final double IDLE_CLOSE_MS = 1000;
     private static final long PATIENCE_S = 20;
+    /** More than the system takes at once from who writes to somebody who does not read. */
+    private static final int LARGE = 8 * 1024 * 1024;
 
     private record End(Outcome outcome, Answer answer) {
     }
@@ -78,8 +82,13 @@
     }
 
     private void send() {
-        pool.carrier(new EndpointPool.Message(HttpMethod.GET, "/api", new DefaultHttpHeaders(), new byte[0],
-            null)).send("s0", 5000, (outcome, answer) -> ends.add(new End(outcome, answer)));
+        attempt(0, Double.POSITIVE_INFINITY);
+    }
+
+    private Carrier.Attempt attempt(int bodySize, double notAfter) {
+        return pool.carrier(new EndpointPool.Message(bodySize == 0 ? HttpMethod.GET : HttpMethod.POST, "/api",
+            new DefaultHttpHeaders(), new byte[bodySize], null))
+            .send("s0", 5000, notAfter, (outcome, answer) -> ends.add(new End(outcome, answer)));
     }
 
     private static void read(Socket socket) throws IOException {
@@ -202,9 +211,7 @@
             first.setSoLinger(true, 0);
         }
         assertEquals(Outcome.RESET, ends.poll(PATIENCE_S, TimeUnit.SECONDS).outcome());
-        loop.submit(() -> pool.carrier(new EndpointPool.Message(HttpMethod.POST, "/api",
-            new DefaultHttpHeaders(), new byte[8 * 1024 * 1024], null)).send("s0", 5000,
-                (outcome, answer) -> ends.add(new End(outcome, answer)))).get();
+        loop.submit(() -> attempt(LARGE, Double.POSITIVE_INFINITY)).get();
         try (Socket second = endpoint.accept()) {
             while (second.getInputStream().available() == 0) {
                 Thread.onSpinWait();
@@ -214,14 +221,56 @@
         assertEquals(Outcome.CONNECT_ERROR, ends.poll(PATIENCE_S, TimeUnit.SECONDS).outcome());
     }
 
-    /** An attempt that was given up while its connection came up leaves nothing behind. */
+    /**
+     * Guards against a connection that comes up after the time until which its attempt might be sent, where
+     * the loop hears of that before its timer.
+     */
     @Test
-    void aConnectionThatComesUpForNobodyIsClosed() throws Exception {
+    void whatHadItsTimeWhileItsConnectionCameUpIsNotSent() throws Exception {
+        loop.submit(() -> {
+            attempt(0, now + 100);
+            now += 101;
+        }).get();
+        assertEquals(Outcome.IGNORED, ends.poll(PATIENCE_S, TimeUnit.SECONDS).outcome());
+        try (Socket first = endpoint.accept()) {
+            assertEquals(-1, first.getInputStream().read(), "nothing was sent on it");
+        }
         loop.submit(() -> {
-            pool.carrier(new EndpointPool.Message(HttpMethod.GET, "/api", new DefaultHttpHeaders(),
-                new byte[0], null)).send("s0", 5000, (outcome, answer) -> ends.add(new End(outcome, answer)))
-                .giveUp();
+            attempt(0, now + 100);
+            now += 100;
         }).get();
+        try (Socket second = endpoint.accept()) {
+            read(second);
+            answer(second, "in time");
+            assertServed("in time");
+        }
+        assertTrue(ends.isEmpty(), "each has one end");
+    }
+
+    /** What an endpoint has half of has not run, and never will where the rest is withdrawn in time. */
+    @Test
+    void whatIsHalfWrittenCanBeWithdrawn() throws Exception {
+        Carrier.Attempt half = loop.submit(() -> attempt(LARGE, Double.POSITIVE_INFINITY)).get();
+        try (Socket first = endpoint.accept()) {
+            while (first.getInputStream().available() == 0) {
+                Thread.onSpinWait();
+            }
+            assertTrue(loop.submit(half::withdraw).get());
+            assertTrue(first.getInputStream().readAllBytes().length < LARGE);
+        }
+        Carrier.Attempt whole = loop.submit(() -> attempt(0, Double.POSITIVE_INFINITY)).get();
+        try (Socket second = endpoint.accept()) {
+            read(second);
+            assertFalse(loop.submit(whole::withdraw).get(), "this one may have run");
+            answer(second, "two");
+            assertServed("two");
+        }
+    }
+
+    /** An attempt that was given up while its connection came up leaves nothing behind. */
+    @Test
+    void aConnectionThatComesUpForNobodyIsClosed() throws Exception {
+        loop.submit(() -> attempt(0, Double.POSITIVE_INFINITY).giveUp()).get();
         loop.submit(this::send).get();
         // The first that comes through asks: on the one that was given up nothing is ever sent.
         for (int i = 0; i < 2; i++) {
