--- a/extproc/src/test/java/martenlatch/front/extproc/ProcessorTest.java
+++ b/extproc/src/test/java/martenlatch/front/extproc/ProcessorTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What proxies are told, message by message. */
 class ProcessorTest {
@@ -76,9 +77,28 @@
         assertEquals(500, consult("r", ORDER, 1).say(Desk.response(500, 0)).status());
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {503, 429})
+    void aRefusalOfTheEndpointsOwnIsNotProofOfAnything(int status) {
+        assertEquals(500, consult("r", ORDER, 1).say(Desk.response(status, 0)).status());
+    }
+
+    /** Guards against a proxy that comes for a keyed repeat when the endpoints have forgotten the first. */
     @Test
-    void aRefusalOfTheEndpointsOwnIsNotProofOfAnything() {
-        assertEquals(500, consult("r", ORDER, 1).say(Desk.response(503, 0)).status());
+    void aKeyedRepeatIsNotHandedOutAfterItsWindow() {
+        for (boolean late : new boolean[] {false, true}) {
+            String id = "late " + late;
+            Desk.Stream first = consult(id, SAVE, 1);
+            desk.time.advance(SAVE.windowMs() * 0.85);
+            first.say(Desk.response(500, 0));
+            desk.time.advance(SAVE.windowMs() * (late ? 0.15 : 0.05));
+            Desk.Stream second = consult(id, SAVE, 2);
+            if (late) {
+                assertEquals(500, second.status());
+            } else {
+                assertNotNull(second.endpoint());
+            }
+        }
     }
 
     @Test
--- a/extproc/src/test/java/martenlatch/front/extproc/ProxyOutcomeTest.java
+++ b/extproc/src/test/java/martenlatch/front/extproc/ProxyOutcomeTest.java
@@ -13,6 +13,7 @@
     @ParameterizedTest
     @CsvSource({"200,false,-,OK", "201,false,-,FAILED", "500,false,-,FAILED", "503,false,-,FAILED",
         "503,true,-,QUEUE_FULL", "504,true,-,QUEUE_FULL", "500,true,-,FAILED", "404,false,-,IGNORED",
+        "429,false,-,FAILED", "429,true,-,FAILED",
         "0,false,-,FAILED", "302,false,-,FAILED",
         "503,false,UF,CONNECT_ERROR", "503,false,UO,CONNECT_ERROR", "503,false,UH,CONNECT_ERROR",
         "404,false,NR,CONNECT_ERROR", "503,false,NC,CONNECT_ERROR", "503,false,'UF,UO',CONNECT_ERROR",
--- a/sidecar/src/test/java/martenlatch/cli/MainTest.java
+++ b/sidecar/src/test/java/martenlatch/cli/MainTest.java
@@ -81,7 +81,7 @@
             awaitLine(log, "serves at");
             // The system gave the port: one that the test had found free could be taken before the start.
             Process heir = serve(config.replace("\"listen\":\"127.0.0.1:0",
-                "\"listen\":\"127.0.0.1" + told.substring(told.lastIndexOf(':'))));
+                "\"listen\":\"127.0.0.1:" + port(told)));
             try (BufferedReader heirLog = heir.inputReader()) {
                 awaitLine(heirLog, "warm after");
                 awaitLine(heirLog, "listens at");
@@ -260,20 +260,10 @@
             Path file = Files.writeString(folder.resolve("config.json"), CONFIG
                 .replace("{\"version\":0,\"full\":true,\"servers\":[]}", list)
                 .replace("repeatable", "once"));
-            ProcessBuilder builder = new ProcessBuilder("sh", "-c",
-                "ulimit -n " + FEW + " && exec \"$@\"", "sh",
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1", "-cp", jar() + ":" + System.getProperty("java.class.path"),
-                "martenlatch.cli.Main", "serve");
-            builder.environment().put("GW_CONFIG", file.toString());
-            Process process = builder.redirectErrorStream(true).start();
+            Process process = serveWithFewDescriptors(file);
             List<Socket> clients = new ArrayList<>();
             try (BufferedReader log = process.inputReader()) {
-                String line = log.readLine();
-                while (!line.contains("listens at")) {
-                    line = log.readLine();
-                }
-                int port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+                int port = port(awaitLine(log, "listens at"));
                 awaitLine(log, "serves at");
                 Socket asks = new Socket("127.0.0.1", port);
                 clients.add(asks);
@@ -298,6 +288,52 @@
         }
     }
 
+    /** Guards against the same for discovery, which it asks on a connection of its own each time here. */
+    @Test
+    void discoveryThatFindsNoDescriptorIsAskedAgain() throws Exception {
+        Process process = serveWithFewDescriptors(Files.writeString(folder.resolve("config.json"),
+            CONFIG.replace("\"rules\":{}", "\"rules\":{\"ask-within-ms\":50}")));
+        List<Socket> clients = new ArrayList<>();
+        try (BufferedReader log = process.inputReader()) {
+            int port = port(awaitLine(log, "listens at"));
+            awaitLine(log, "serves at");
+            awaitLine(log, "discovery failed: ");
+            for (int i = 0; i < FEW; i++) {
+                clients.add(new Socket("127.0.0.1", port));
+            }
+            for (String failed = "refused"; failed.contains("refused");) {
+                failed = awaitLine(log, "discovery failed: ");
+            }
+            for (Socket client : clients) {
+                client.close();
+            }
+            for (String failed = ""; !failed.contains("refused");) {
+                failed = awaitLine(log, "discovery failed: ");
+            }
+            process.toHandle().destroy();
+            assertEquals(0, process.waitFor());
+        } finally {
+            process.destroyForcibly();
+            for (Socket client : clients) {
+                client.close();
+            }
+        }
+    }
+
+    private Process serveWithFewDescriptors(Path file) throws Exception {
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c",
+            "ulimit -n " + FEW + " && exec \"$@\"", "sh",
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:TieredStopAtLevel=1", "-cp", jar() + ":" + System.getProperty("java.class.path"),
+            "martenlatch.cli.Main", "serve");
+        builder.environment().put("GW_CONFIG", file.toString());
+        return builder.redirectErrorStream(true).start();
+    }
+
+    private static int port(String line) {
+        return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+    }
+
     /** The program in one file, as it is delivered: it is open, so that classes need no descriptor. */
     private Path jar() throws Exception {
         Path classes = Path.of(Main.class.getProtectionDomain().getCodeSource().getLocation().toURI());
--- a/sidecar/src/test/java/martenlatch/sidecar/RareOrdersTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/RareOrdersTest.java
@@ -148,6 +148,28 @@
         awaitOpen(0);
     }
 
+    /** Guards against memory without end for a client far ahead: beyond a bound its bytes are read on. */
+    @Test
+    void whatIsHeldBackIsBounded() throws Exception {
+        rig = new Rig(new Fake((wire, request) -> wire.awaitEnd())).start();
+        try (Wire client = rig.client()) {
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < 8; i++) {
+                all.append(rig.request("order", DEADLINE_MS));
+            }
+            client.send(all.toString());
+            Rig.await("some are at the endpoint", () -> rig.attempts() > 0);
+            long began = System.nanoTime();
+            client.send(rig.request("order", DEADLINE_MS).replace("Content-Length: 5\r\n\r\nhello",
+                "Content-Length: 1000000\r\n\r\n" + "x".repeat(900_000)));
+            Rig.await("it is taken for the body that it is, which has a bound", () ->
+                bodyRoomTaken() > 800_000);
+            assertTrue(sinceMs(began) < NOTICED_MS, "and not when the eight have timed out");
+        }
+        awaitOpen(0);
+        Rig.await("nothing of it is kept", () -> bodyRoomTaken() == 0);
+    }
+
     /** Guards against what a burst of clients leaves behind who go in the middle of their bodies. */
     @Test
     void clientsThatLeaveInTheMiddleOfTheirBodiesLeaveNothing() throws Exception {
@@ -192,8 +214,9 @@
      * Guards against a request that is cut off because its last byte comes after the last call. A run in
      * which this machine took longer than the sidecar waits shows nothing and is made again.
      */
-    @Test
-    void aRequestWhoseLastByteComesAfterTheLastCallIsAnswered() throws Exception {
+    @ParameterizedTest
+    @ValueSource(ints = {5, 300_000, 1_300_000})
+    void aRequestWhoseLastByteComesAfterTheLastCallIsAnswered(int bodySize) throws Exception {
         for (int i = 0; i < 10; i++) {
             rig = new Rig(good()).start();
             Wire idle = rig.client();
@@ -203,14 +226,17 @@
             Thread drain = new Thread(rig.sidecar::drain);
             drain.start();
             Rig.await("the listener is closed", () -> !accepts(rig.sidecar.address()));
-            String request = rig.request("order", DEADLINE_MS);
-            half.send(request.substring(0, 30));
+            // The head is broken off, or the body: one that is collected, one that is passed on as it comes.
+            String request = rig.request("order", DEADLINE_MS).replace("Content-Length: 5\r\n\r\nhello",
+                "Content-Length: " + bodySize + "\r\n\r\n" + "x".repeat(bodySize));
+            int sent = bodySize == 5 ? 30 : request.length() - 10;
+            half.send(request.substring(0, sent));
             // It has been read before the last call.
             assertEquals(200, idle.send(rig.request("order", DEADLINE_MS)).read().status());
             idle.awaitEnd();
             long lastCall = System.nanoTime();
             try {
-                half.send(request.substring(30));
+                half.send(request.substring(sent));
                 double tookMs = sinceMs(lastCall);
                 if (tookMs < 100) {
                     Wire.Message answer = half.read();
