--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -293,29 +293,32 @@
      */
     public void drain() {
         log.println("martenlatch: draining");
+        long told = System.nanoTime();
         CountDownLatch empty = new CountDownLatch(1);
         long killedAfterMs = Math.min(mostDeadlineMs, MOST_WAIT_MS) + KILL_SLACK_MS;
         long endMs = killedAfterMs - DRAIN_SLACK_MS;
         long lastCallMs = Math.max(LINGER_MS, endMs - FINISH_MS);
         boolean hasHeir = operations.leave();
         loop.execute(() -> {
+            // A loop that is held up is told late, and the kill does not wait for it.
+            long lateMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - told);
             if (peers != null) {
                 peers.leave();
             }
             // What is due at once is done in this order: who waits to be accepted comes before the last call.
             if (hasHeir) {
                 log.println("martenlatch: another process serves at this address");
-                frontend.handOver(endMs);
+                frontend.handOver(endMs - lateMs);
             } else {
-                frontend.drain(endMs);
-                loop.schedule(frontend::closeListener, LINGER_MS, TimeUnit.MILLISECONDS);
+                frontend.drain(endMs - lateMs);
+                loop.schedule(frontend::closeListener, LINGER_MS - lateMs, TimeUnit.MILLISECONDS);
             }
-            loop.schedule(frontend::finish, lastCallMs, TimeUnit.MILLISECONDS);
+            loop.schedule(frontend::finish, lastCallMs - lateMs, TimeUnit.MILLISECONDS);
             loop.scheduleWithFixedDelay(() -> {
                 if (frontend.isEmpty()) {
                     empty.countDown();
                 }
-            }, LINGER_MS, EMPTY_POLL_MS, TimeUnit.MILLISECONDS);
+            }, Math.max(0, LINGER_MS - lateMs), EMPTY_POLL_MS, TimeUnit.MILLISECONDS);
         });
         try {
             // Every request has had its answer by then; who does not take it is not waited for.
--- a/sidecar/src/test/java/martenlatch/sidecar/ClosingTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/ClosingTest.java
@@ -25,6 +25,8 @@
     private static final int LINGER_MS = 600;
     private static final int LAST_CALL_MS = 2700;
     private static final int IDLE_MS = 5000;
+    /** Longer than an end may be late. */
+    private static final int HELD_UP_MS = 1500;
 
     private interface Deed {
         void run() throws Exception;
@@ -151,6 +153,35 @@
         }
     }
 
+    /** Guards against an end that is put off by as long as the loop was held up when it was told. */
+    @Test
+    void aLoopThatIsHeldUpAsItIsToldToEndEndsInTime() throws Exception {
+        before(new Fake((wire, request) -> wire.awaitEnd())).start();
+        try (Wire client = rig.client()) {
+            client.send(rig.request("order", DEADLINE_MS));
+            Rig.await("it is in hand", () -> rig.attempts() == 1);
+            Thread drain = new Thread(rig.sidecar::drain);
+            CountDownLatch held = new CountDownLatch(1);
+            CountDownLatch release = new CountDownLatch(1);
+            rig.sidecar.loop().execute(() -> {
+                held.countDown();
+                await(release);
+            });
+            await(held);
+            drain.start();
+            Rig.await("it has been told", () -> rig.logged().contains("draining"));
+            long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HELD_UP_MS);
+            while (System.nanoTime() < until) {
+                Thread.onSpinWait();
+            }
+            release.countDown();
+            assertEquals(502, client.read().status(), "answered before it ends");
+            client.close();
+            drain.join();
+            assertTrue(rig.logged().contains("martenlatch: drained"), rig.logged());
+        }
+    }
+
     /**
      * Guards against a process that is killed before its last answer because requests had more time by
      * settings that hold no more.
