A stop in the middle of a reload reads one longest deadline; outcomes by status stand once

No test: nothing can be put between two lines of one method from outside. - What a status means for an attempt stood in EndpointPool and in the external processor's ProxyOutcome, and 429 was mended in both. It is Answer.outcome in host now, which both ask. - The tests' loop that is held up stood in ClosingTest and OnePassTest, the end of a process without descriptors twice in MainTest: in Rig and in one method.

--- a/extproc/src/main/java/martenlatch/front/extproc/ProxyOutcome.java
+++ b/extproc/src/main/java/martenlatch/front/extproc/ProxyOutcome.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import martenlatch.host.Answer;
 import martenlatch.policy.Contract.Outcome;
 
 /**
@@ -23,9 +24,6 @@
     /** The largest whole number that a protobuf number surely keeps. */
     private static final double MOST_BITS = 1L << 53;
 
-    /** Means to a client that it may safely ask again. */
-    private static final int TOO_MANY = 429;
-
     private ProxyOutcome() {
     }
 
@@ -68,14 +66,7 @@
                 : (flags & ~TIMED_OUT) == 0 ? Outcome.TIMED_OUT
                 : (flags & CLIENT_GONE) != 0 ? Outcome.CANCELED : Outcome.RESET;
         }
-        if (status == 200) {
-            return Outcome.OK;
-        }
-        if ((status == 503 || status == 504) && notRun) {
-            return Outcome.QUEUE_FULL;
-        }
-        // Passed on, 429 would be our word that the request has not run, and nothing here says so.
-        return status >= 400 && status < 500 && status != TOO_MANY ? Outcome.IGNORED : Outcome.FAILED;
+        return Answer.outcome(status, notRun);
     }
 
     /** All flags that are told apart, for those that stand in for a proxy. */
--- a/sidecar/src/main/java/martenlatch/host/Answer.java
+++ b/sidecar/src/main/java/martenlatch/host/Answer.java
@@ -1,5 +1,7 @@
 package martenlatch.host;
 
+import martenlatch.policy.Contract.Outcome;
+
 /**
  * A final answer of an endpoint as it came.
  *
@@ -13,8 +15,29 @@
 public record Answer(int status, boolean notRun, boolean keepAlive, String contentType, byte[] body,
         Rest rest) {
 
+    /** Means to a client that it may safely ask again. */
+    private static final int TOO_MANY = 429;
+
     /** An answer that is whole. */
     public Answer(int status, boolean notRun, boolean keepAlive, String contentType, byte[] body) {
         this(status, notRun, keepAlive, contentType, body, null);
     }
+
+    /** How an attempt ended that was answered so. */
+    public Outcome outcome() {
+        return outcome(status, notRun);
+    }
+
+    /** The same for who has no more of the answer than this. */
+    public static Outcome outcome(int status, boolean notRun) {
+        if (status == 200) {
+            return Outcome.OK;
+        }
+        if ((status == 503 || status == 504) && notRun) {
+            return Outcome.QUEUE_FULL;
+        }
+        // The request was turned away for what it is, which says nothing of the endpoint. But 429 passed on
+        // would be our word that it has not run, and nothing here says so.
+        return status >= 400 && status < 500 && status != TOO_MANY ? Outcome.IGNORED : Outcome.FAILED;
+    }
 }
--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -197,11 +197,13 @@
     }
 
     private void mindDeadlines() {
-        // Those that hold now: who stops this process goes by them, whatever they were before.
-        mostDeadlineMs = 0;
+        // Those that hold now: who stops this process goes by them, whatever they were before. Written once,
+        // as a stop reads it on its own thread, perhaps in the middle of a reload.
+        long most = 0;
         for (RequestClass kind : config.settings().classes()) {
-            mostDeadlineMs = Math.max(mostDeadlineMs, (long) kind.deadlineMs());
+            most = Math.max(most, (long) kind.deadlineMs());
         }
+        mostDeadlineMs = most;
     }
 
     /** What operators may do with this sidecar. */
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
@@ -49,8 +49,6 @@
     private static final int SWEEPS = 10;
     /** An endpoint that is well takes some of a body within this time. */
     private static final int STUCK_MS = 2000;
-    /** Means to a client that it may safely ask again. */
-    private static final int TOO_MANY = 429;
     /** Tells the endpoint how long its answer is waited for, in whole milliseconds. */
     private static final String DEADLINE = "X-Deadline-Ms";
     /**
@@ -604,7 +602,7 @@
             // First the connection, then the word: what it leads to may need the connection.
             keep(clean && !early && answer.keepAlive());
             if (ended != null) {
-                Outcome outcome = outcome(answer);
+                Outcome outcome = answer.outcome();
                 if (early && outcome == Outcome.OK) {
                     // It says that it has run, and can't have read what it was to run: who knows.
                     outcome = Outcome.RESET;
@@ -678,17 +676,4 @@
             }
         }
     }
-
-    private static Outcome outcome(Answer answer) {
-        int status = answer.status();
-        if (status == 200) {
-            return Outcome.OK;
-        }
-        if ((status == 503 || status == 504) && answer.notRun()) {
-            return Outcome.QUEUE_FULL;
-        }
-        // The request was turned away for what it is, which says nothing of the endpoint. But 429 passed on
-        // would be our word that it has not run, and nothing here says so.
-        return status >= 400 && status < 500 && status != TOO_MANY ? Outcome.IGNORED : Outcome.FAILED;
-    }
 }
--- a/sidecar/src/test/java/martenlatch/cli/MainTest.java
+++ b/sidecar/src/test/java/martenlatch/cli/MainTest.java
@@ -280,10 +280,7 @@
                 process.toHandle().destroy();
                 assertEquals(0, process.waitFor());
             } finally {
-                process.destroyForcibly();
-                for (Socket client : clients) {
-                    client.close();
-                }
+                end(process, clients);
             }
         }
     }
@@ -313,10 +310,14 @@
             process.toHandle().destroy();
             assertEquals(0, process.waitFor());
         } finally {
-            process.destroyForcibly();
-            for (Socket client : clients) {
-                client.close();
-            }
+            end(process, clients);
+        }
+    }
+
+    private static void end(Process process, List<Socket> clients) throws IOException {
+        process.destroyForcibly();
+        for (Socket client : clients) {
+            client.close();
         }
     }
 
--- a/sidecar/src/test/java/martenlatch/sidecar/ClosingTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/ClosingTest.java
@@ -28,10 +28,6 @@
     /** Longer than an end may be late. */
     private static final int HELD_UP_MS = 1500;
 
-    private interface Deed {
-        void run() throws Exception;
-    }
-
     private Rig rig;
 
     @AfterEach
@@ -49,7 +45,7 @@
     }
 
     /** Does something when the loop has read what there was, and is about to do what is due by then. */
-    private void justBefore(double dueMs, Deed deed) throws Exception {
+    private void justBefore(double dueMs, Rig.Deed deed) throws Exception {
         EventLoop loop = rig.sidecar.loop();
         CountDownLatch held = new CountDownLatch(1);
         CountDownLatch again = new CountDownLatch(1);
@@ -58,15 +54,15 @@
         loop.execute(() -> {
             loop.schedule(() -> {
                 again.countDown();
-                await(done);
+                Rig.await(done);
             }, 1, TimeUnit.MILLISECONDS);
             held.countDown();
             while (System.nanoTime() < until) {
                 Thread.onSpinWait();
             }
         });
-        await(held);
-        await(again);
+        Rig.await(held);
+        Rig.await(again);
         try {
             deed.run();
         } finally {
@@ -74,14 +70,6 @@
         }
     }
 
-    private static void await(CountDownLatch latch) {
-        try {
-            assertTrue(latch.await(Rig.PATIENCE_MS, TimeUnit.MILLISECONDS));
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     private Thread drain() throws Exception {
         Thread drain = new Thread(rig.sidecar::drain);
         drain.start();
@@ -161,20 +149,13 @@
             client.send(rig.request("order", DEADLINE_MS));
             Rig.await("it is in hand", () -> rig.attempts() == 1);
             Thread drain = new Thread(rig.sidecar::drain);
-            CountDownLatch held = new CountDownLatch(1);
-            CountDownLatch release = new CountDownLatch(1);
-            rig.sidecar.loop().execute(() -> {
-                held.countDown();
-                await(release);
-            });
-            await(held);
-            drain.start();
-            Rig.await("it has been told", () -> rig.logged().contains("draining"));
-            long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HELD_UP_MS);
-            while (System.nanoTime() < until) {
-                Thread.onSpinWait();
-            }
-            release.countDown();
+            rig.whileHeld(drain::start, () -> Rig.await("it has been told", () ->
+                rig.logged().contains("draining")), () -> {
+                    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HELD_UP_MS);
+                    while (System.nanoTime() < until) {
+                        Thread.onSpinWait();
+                    }
+                });
             assertEquals(502, client.read().status(), "answered before it ends");
             client.close();
             drain.join();
--- a/sidecar/src/test/java/martenlatch/sidecar/OnePassTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/OnePassTest.java
@@ -7,8 +7,6 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -25,10 +23,6 @@
     private static final int LEAST_CONNECTIONS = 8;
     private static final int SHORT_MS = 3000;
 
-    private interface Deed {
-        void run() throws Exception;
-    }
-
     private Rig rig;
 
     @AfterEach
@@ -36,30 +30,6 @@
         rig.close();
     }
 
-    private void whileHeld(Deed... deeds) throws Exception {
-        // The system tells first of what it has told before, until it has found that quiet: by two turns.
-        rig.tableSizes();
-        rig.tableSizes();
-        CountDownLatch held = new CountDownLatch(1);
-        CountDownLatch release = new CountDownLatch(1);
-        rig.sidecar.loop().execute(() -> {
-            held.countDown();
-            try {
-                release.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        assertTrue(held.await(Rig.PATIENCE_MS, TimeUnit.MILLISECONDS));
-        try {
-            for (Deed deed : deeds) {
-                deed.run();
-            }
-        } finally {
-            release.countDown();
-        }
-    }
-
     /** A rig before one place, whose connections the test takes itself. */
     private ServerSocket before(ServerSocket place, boolean cancel) throws IOException {
         rig = new Rig(Fake.place());
@@ -87,9 +57,9 @@
             first.read();
             try (LateEndpoint late = new LateEndpoint(place)) {
                 if (causeFirst) {
-                    whileHeld(first::reset, client::close);
+                    rig.whileHeld(first::reset, client::close);
                 } else {
-                    whileHeld(client::close, first::reset);
+                    rig.whileHeld(client::close, first::reset);
                 }
                 awaitOpen(0);
                 late.open();
@@ -108,7 +78,7 @@
             Wire endpoint = new Wire(place.accept());
             endpoint.read();
             long until = System.nanoTime() + SHORT_MS * 1_000_000L;
-            whileHeld(() -> Fake.answer(endpoint, 200, "", "first"), () -> {
+            rig.whileHeld(() -> Fake.answer(endpoint, 200, "", "first"), () -> {
                 while (System.nanoTime() < until) {
                     Thread.onSpinWait();
                 }
@@ -132,7 +102,7 @@
             client.send(rig.request("order", DEADLINE_MS));
             Wire endpoint = new Wire(place.accept());
             endpoint.read();
-            whileHeld(() -> endpoint.send("HTTP/1.1 200 x\r\nContent-Length: 5\r\n\r\n"
+            rig.whileHeld(() -> endpoint.send("HTTP/1.1 200 x\r\nContent-Length: 5\r\n\r\n"
                 + (what.equals("whole") ? "first" : "fir")), endpoint::reset);
             Wire.Message answer = client.read();
             assertEquals(what.equals("whole") ? 200 : 502, answer.status());
@@ -153,11 +123,11 @@
             Wire client = rig.client().send(rig.request("order", DEADLINE_MS));
             Wire endpoint = new Wire(place.accept());
             endpoint.read();
-            Deed answers = () -> Fake.answer(endpoint, 200, "", "first");
+            Rig.Deed answers = () -> Fake.answer(endpoint, 200, "", "first");
             if (answerFirst) {
-                whileHeld(answers, client::close);
+                rig.whileHeld(answers, client::close);
             } else {
-                whileHeld(client::close, answers);
+                rig.whileHeld(client::close, answers);
             }
             awaitOpen(0);
             Rig.settle();
@@ -181,7 +151,7 @@
             assertEquals(200, clients.get(i).send(rig.request("order", DEADLINE_MS)).read().status());
         }
         // The system tells of them in this order, and the first client has been idle the longest.
-        whileHeld(() -> clients.add(rig.client()),
+        rig.whileHeld(() -> clients.add(rig.client()),
             () -> clients.get(0).send(rig.request("order", DEADLINE_MS)));
         assertEquals(200, clients.get(0).read().status());
         clients.get(1).awaitEnd();
--- a/sidecar/src/test/java/martenlatch/sidecar/Rig.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/Rig.java
@@ -11,6 +11,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 /** A sidecar before fake endpoints, with a fake discovery; all on loopback. */
@@ -132,6 +134,40 @@
         }
     }
 
+    /** What a test does while the sidecar hears nothing. */
+    interface Deed {
+        void run() throws Exception;
+    }
+
+    /** Does all of this in one turn of the sidecar's loop, which is held up meanwhile. */
+    void whileHeld(Deed... deeds) throws Exception {
+        // The system tells first of what it has told before, until it has found that quiet: by two turns.
+        tableSizes();
+        tableSizes();
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        sidecar.loop().execute(() -> {
+            held.countDown();
+            await(release);
+        });
+        await(held);
+        try {
+            for (Deed deed : deeds) {
+                deed.run();
+            }
+        } finally {
+            release.countDown();
+        }
+    }
+
+    static void await(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(PATIENCE_MS, TimeUnit.MILLISECONDS));
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     int attempts() {
         return endpoints.stream().mapToInt(endpoint -> endpoint.requests.size()).sum();
     }
