Emulated discovery: a rejection may cost time and is then told in its turn

Cause: CallQueue rejected at no cost, exactly when a call had waited for its limit.

Change: CallQueue has a cost of rejections (discovery.rejection-ms of a scenario, 0 as before); such a rejection waits for its turn.

--- a/fleet/src/main/java/martenlatch/fleet/scenario/ListService.java
+++ b/fleet/src/main/java/martenlatch/fleet/scenario/ListService.java
@@ -7,11 +7,12 @@
  * How discovery works through sidecars' calls for lists.
  *
  * @param callMs how long each takes, in turn; 0 for no time
+ * @param rejectionMs how long a rejection takes, in turn; 0 for one that is free
  * @param mostWaitMs a call that waits longer for its turn is turned away
  * @param askWithinMs what the settings allow a sidecar between two calls
  * @param known which list a sidecar's configuration has when its process starts
  */
-public record ListService(double callMs, double mostWaitMs, double askWithinMs, KnownList known) {
+public record ListService(double callMs, double rejectionMs, double mostWaitMs, double askWithinMs, KnownList known) {
 
     /** The endpoint list in the configuration of a process that starts. */
     public enum KnownList {
@@ -32,7 +33,7 @@
 
     public ListService {
         try {
-            new CallQueue(callMs, mostWaitMs);
+            new CallQueue(callMs, rejectionMs, mostWaitMs);
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException("discovery." + e.getMessage(), e);
         }
@@ -43,6 +44,6 @@
 
     /** One that nobody waits in yet. */
     public CallQueue queue() {
-        return new CallQueue(callMs, mostWaitMs);
+        return new CallQueue(callMs, rejectionMs, mostWaitMs);
     }
 }
--- a/fleet/src/main/java/martenlatch/fleet/scenario/Scenario.java
+++ b/fleet/src/main/java/martenlatch/fleet/scenario/Scenario.java
@@ -38,7 +38,8 @@
 
     private static final Set<String> NAMES = Set.of(
             "name", "about", "seed", "seconds", "fleet", "load", "class", "endpoint", "discovery", "fault", "hold");
-    private static final Set<String> DISCOVERY = Set.of("call-ms", "most-wait-ms", "ask-within-ms", "known");
+    private static final Set<String> DISCOVERY =
+            Set.of("call-ms", "rejection-ms", "most-wait-ms", "ask-within-ms", "known");
     private static final Set<String> FLEET = Set.of("sidecars", "endpoints", "zones", "peers");
     private static final Set<String> LOAD = Set.of("rate", "skew", "notice-ms");
     private static final Set<String> CLASS =
@@ -172,6 +173,7 @@
         TomlFile.knownOnly("discovery.", one, DISCOVERY);
         return new ListService(
                 TomlFile.number("discovery.call-ms", one.path("call-ms"), 0),
+                TomlFile.number("discovery.rejection-ms", one.path("rejection-ms"), 0),
                 TomlFile.number("discovery.most-wait-ms", one.path("most-wait-ms"), 1000),
                 TomlFile.number("discovery.ask-within-ms", one.path("ask-within-ms"), 10_000),
                 ListService.KnownList.parse(one.path("known").asText("current")));
--- a/tools/src/main/java/martenlatch/world/CallQueue.java
+++ b/tools/src/main/java/martenlatch/world/CallQueue.java
@@ -1,34 +1,46 @@
 package martenlatch.world;
 
 /**
- * A service that works through calls in turn, each of which takes the same time; one that would wait for too
- * long is turned away when it has waited so long. No I/O; times are milliseconds, come with the calls and
+ * A service that works through calls in turn, each of which takes the same time; one that waits for too long is
+ * rejected. A rejection may be free, and is told as soon as the call has waited for too long; or it takes time of the
+ * service, and is told when its turn has come, however late. No I/O; times are milliseconds, come with the calls and
  * never run backwards.
  */
 public final class CallQueue {
 
-    /** What becomes of a call: when, and whether it is turned away then. */
+    private static final double MAX_SETTING_MS = 600_000;
+
+    /** What becomes of a call: when, and whether it is rejected then. */
     public record Turn(double atMs, boolean refused) {}
 
     private final double callMs;
-    private final double mostWaitMs;
+    private final double rejectionMs;
+    private final double maxWaitMs;
     private double freeAt = Double.NEGATIVE_INFINITY;
 
     /**
      * Nobody waits yet.
      *
      * @param callMs how long a call takes; 0 for one that takes no time
-     * @param mostWaitMs how long a call waits for its turn at the most
+     * @param rejectionMs how long a rejection takes; 0 for one that is free
+     * @param maxWaitMs how long a call waits for its turn at the most
      */
-    public CallQueue(double callMs, double mostWaitMs) {
-        within("call-ms", callMs);
-        within("most-wait-ms", mostWaitMs);
+    public CallQueue(double callMs, double rejectionMs, double maxWaitMs) {
+        requireWithin("call-ms", callMs);
+        requireWithin("rejection-ms", rejectionMs);
+        requireWithin("most-wait-ms", maxWaitMs);
         this.callMs = callMs;
-        this.mostWaitMs = mostWaitMs;
+        this.rejectionMs = rejectionMs;
+        this.maxWaitMs = maxWaitMs;
+    }
+
+    /** A queue in which a rejection is free. */
+    public CallQueue(double callMs, double maxWaitMs) {
+        this(callMs, 0, maxWaitMs);
     }
 
-    private static void within(String field, double ms) {
-        if (!(ms >= 0 && ms <= 600_000)) {
+    private static void requireWithin(String field, double ms) {
+        if (!(ms >= 0 && ms <= MAX_SETTING_MS)) {
             throw new IllegalArgumentException(field + " must be 0 to 600000 but is " + ms);
         }
     }
@@ -36,10 +48,11 @@
     /** A call comes. */
     public Turn come(double now) {
         double begins = Math.max(now, freeAt);
-        if (begins - now > mostWaitMs) {
-            return new Turn(now + mostWaitMs, true);
+        boolean rejected = begins - now > maxWaitMs;
+        if (rejected && rejectionMs == 0) {
+            return new Turn(now + maxWaitMs, true);
         }
-        freeAt = begins + callMs;
-        return new Turn(freeAt, false);
+        freeAt = begins + (rejected ? rejectionMs : callMs);
+        return new Turn(freeAt, rejected);
     }
 }
