Three failing tests: starts at a crowded discovery and beside an agent that listens late

Symptom, from trials on processes at: 24 sidecars that start together at a discovery with 150 ms a call and 60 ms a rejection sent 258 requests to an endpoint that had gone, 10 of them, for up to 13.7 s; beside an agent that listens 2.2 s after the process, four starts sent 11 to 20 requests each to an endpoint that the agent knew to be gone.

EndpointListAgeSimTest has the first in simulated time, DiscoveryRaceTest both on sockets. FakeEndpoint can listen at a given address; 127.0.0.77 keeps others from the port meanwhile.

--- a/fleet/src/test/java/martenlatch/fleet/sim/EndpointListAgeSimTest.java
+++ b/fleet/src/test/java/martenlatch/fleet/sim/EndpointListAgeSimTest.java
@@ -13,12 +13,12 @@
 import java.util.stream.Collectors;
 import martenlatch.fleet.history.Event;
 import martenlatch.fleet.history.History;
-import martenlatch.fleet.judge.Finding;
 import martenlatch.fleet.judge.Record;
 import martenlatch.fleet.judge.Verdict;
 import martenlatch.fleet.scenario.Scenario;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -49,6 +49,12 @@
         deadline-ms = 1500
         """;
 
+    /** Sidecars that start together, one second after this, from a list of before {@code CHANGED_AT_S}. */
+    private static final double STARTED_AT_S = 5;
+
+    private static final double CHANGED_AT_S = 3;
+    private static final int CROWDED_STARTS = 20;
+
     private record PlannedFault(double at, String text) {}
 
     private static PlannedFault fault(double at, double lasts, String what, String who) {
@@ -90,6 +96,10 @@
         faults.sort(Comparator.comparingDouble(PlannedFault::at));
         String text = FLEET.formatted(seed, callMs)
                 + faults.stream().map(PlannedFault::text).collect(Collectors.joining());
+        return scenario(text);
+    }
+
+    private static Scenario scenario(String text) {
         try {
             return Scenario.of(new TomlMapper().readTree(text));
         } catch (IOException e) {
@@ -117,27 +127,42 @@
     private static List<String> attemptsAfterNotification(int faults) {
         List<String> found = new ArrayList<>();
         for (int seed = 1; seed <= SEEDS; seed++) {
-            Scenario plan = plan(seed, 40, faults);
-            for (Finding finding : judged(plan, new SimRun(plan).play(at -> {})).findings()) {
-                if (finding.judge().equals("drain")) {
-                    found.add("plan " + seed + " at " + finding.atMs() + ": " + finding.what());
-                }
-            }
+            found.addAll(attemptsAfterNotification("plan " + seed, plan(seed, 40, faults)));
         }
         return found;
     }
 
+    private static List<String> attemptsAfterNotification(String name, Scenario plan) {
+        return judged(plan, new SimRun(plan).play(at -> {})).findings().stream()
+                .filter(finding -> finding.judge().equals("drain"))
+                .map(finding -> name + " at " + finding.atMs() + ": " + finding.what())
+                .toList();
+    }
+
+    /**
+     * A fleet starts together from a list that is older than a drain, at a discovery that works through calls in turn
+     * and whose rejections take time. On processes (24 sidecars, 150 ms a call, 60 ms a rejection) 10 of them sent 258
+     * requests to an endpoint that had gone, the last 13.7 s after it went.
+     */
+    @ParameterizedTest
+    @CsvSource({"60, 20", "150, 60"})
+    void aFleetThatStartsAtACrowdedDiscoveryServesFromACurrentList(int callMs, int rejectionMs) {
+        List<String> found = new ArrayList<>();
+        for (int seed = 1; seed <= CROWDED_STARTS; seed++) {
+            String fleet = FLEET.formatted(seed, callMs)
+                    .replace("most-wait-ms", "rejection-ms = " + rejectionMs + "\nmost-wait-ms");
+            String faults = fault(1, STARTED_AT_S - 1, "kill", who("sidecars")).text()
+                    + fault(CHANGED_AT_S, 0, "drain", who("endpoint 1")).text();
+            found.addAll(attemptsAfterNotification("start " + seed, scenario(fleet + faults)));
+        }
+        assertEquals(List.of(), found);
+    }
+
     /** Polls that come sooner do not bring down a discovery that serves calls in turn: what it rejects is bounded. */
     @Test
     void aFleetThatStartsTogetherIsHeardInTime() {
-        Scenario plan = plan(1, 40, 0);
-        try {
-            String together = FLEET.formatted(1, 150)
-                    + fault(2, 3, "kill", who("sidecars")).text();
-            plan = Scenario.of(new TomlMapper().readTree(together));
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
+        Scenario plan = scenario(
+                FLEET.formatted(1, 150) + fault(2, 3, "kill", who("sidecars")).text());
         History history = new SimRun(plan).play(at -> {});
         List<Event> calls = history.events().stream()
                 .filter(event -> event.what() == Event.What.LIST_CALL && event.atMs() > 5000)
--- a/sidecar/src/test/java/martenlatch/sidecar/DiscoveryRaceTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/DiscoveryRaceTest.java
@@ -5,12 +5,18 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -324,6 +330,38 @@
         }
     }
 
+    /**
+     * A crowded discovery works through calls in turn, also those that it rejects: a rejection may come seconds
+     * after its poll. A poll that is still open says nothing of the list.
+     */
+    @Test
+    void aPollThatIsRejectedLateDoesNotConfirmTheList() throws Exception {
+        int rejectedAfterMs = 2600;
+        try (FakeEndpoint other = FakeEndpoint.serving()) {
+            fixture = new SidecarFixture(FakeEndpoint.serving());
+            fixture.maxListWaitMs = SidecarFixture.PATIENCE_MS;
+            AtomicInteger polls = new AtomicInteger();
+            fixture.discovery.script = (wire, request) -> {
+                int poll = polls.incrementAndGet();
+                if (poll == 1) {
+                    Thread.sleep(rejectedAfterMs);
+                    FakeEndpoint.answer(wire, 503, "", "");
+                } else if (poll == 2) {
+                    String drained =
+                            SidecarFixture.line(0, fixture.endpoints.get(0).address(), "terminating", 0);
+                    String ready = SidecarFixture.line(1, other.address(), "in_service", 0);
+                    FakeEndpoint.answer(wire, 200, "", SidecarFixture.list(2, false, drained, ready));
+                } else {
+                    wire.awaitEnd();
+                }
+            };
+            fixture.start();
+            assertEquals(200, fixture.ask("order", DEADLINE_MS).status());
+            assertEquals(1, other.requests.size(), "the endpoint of the old list has left");
+            assertEquals(0, fixture.endpoints.get(0).requests.size());
+        }
+    }
+
     /** A watch that discovery neither answers nor rejects tells that nothing is newer than the list. */
     @Test
     void aWatchThatIsKeptOpenConfirmsTheList() throws Exception {
@@ -355,6 +393,44 @@
         assertTrue(fixture.discovery.requests.size() > 1, "it is asked again and again");
     }
 
+    /**
+     * What the agent of this machine has counts as notified from the first moment of a new process, also where the
+     * agent begins to listen later than the process. On processes (the agent listens 2.2 s after the start, four
+     * starts) 11 to 20 requests went to an endpoint that the agent knew to be gone.
+     */
+    @Test
+    void anAgentThatListensLateIsHeardBeforeTheFirstClient() throws Exception {
+        int listensAfterMs = 1200;
+        // Nothing else on this machine takes a port at this address meanwhile.
+        InetSocketAddress agentAddress;
+        try (ServerSocket reserved = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.77"))) {
+            agentAddress = (InetSocketAddress) reserved.getLocalSocketAddress();
+        }
+        try (FakeEndpoint other = FakeEndpoint.serving()) {
+            fixture = new SidecarFixture(FakeEndpoint.serving());
+            fixture.membership = "pushed";
+            fixture.discoveryAddress = agentAddress.getHostString() + ":" + agentAddress.getPort();
+            String drained = SidecarFixture.line(0, fixture.endpoints.get(0).address(), "terminating", 0);
+            String ready = SidecarFixture.line(1, other.address(), "in_service", 0);
+            CompletableFuture<FakeEndpoint> agent = CompletableFuture.supplyAsync(
+                    () -> agentAt(agentAddress, SidecarFixture.list(2, true, drained, ready)),
+                    CompletableFuture.delayedExecutor(listensAfterMs, TimeUnit.MILLISECONDS));
+            fixture.start();
+            assertEquals(200, fixture.ask("order", DEADLINE_MS).status());
+            assertEquals(1, other.requests.size(), "the agent knows that the other one has left");
+            assertEquals(0, fixture.endpoints.get(0).requests.size());
+            agent.join().close();
+        }
+    }
+
+    private static FakeEndpoint agentAt(InetSocketAddress address, String list) {
+        try {
+            return new FakeEndpoint(address, (wire, request) -> FakeEndpoint.answer(wire, 200, "", list));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static int available(RawHttpClient wire) {
         try {
             return wire.socket.getInputStream().available();
--- a/sidecar/src/test/java/martenlatch/sidecar/FakeEndpoint.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/FakeEndpoint.java
@@ -2,7 +2,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
@@ -17,6 +17,8 @@
         void on(RawHttpClient wire, RawHttpClient.Message request) throws Exception;
     }
 
+    private static final int BACKLOG = 50;
+
     final ServerSocket listener;
     final List<RawHttpClient.Message> requests = new CopyOnWriteArrayList<>();
     final AtomicInteger connections = new AtomicInteger();
@@ -25,18 +27,23 @@
     private Thread acceptor;
 
     FakeEndpoint(Script script) throws IOException {
-        this();
+        this(new InetSocketAddress("127.0.0.1", 0), script);
+    }
+
+    /** One that listens at a certain address. */
+    FakeEndpoint(InetSocketAddress address, Script script) throws IOException {
+        this(address);
         this.script = script;
         acceptor = start(this::accept);
     }
 
-    private FakeEndpoint() throws IOException {
-        listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    private FakeEndpoint(InetSocketAddress address) throws IOException {
+        listener = new ServerSocket(address.getPort(), BACKLOG, address.getAddress());
     }
 
     /** A place that listens, for whoever takes the connections there himself. */
     static FakeEndpoint place() throws IOException {
-        return new FakeEndpoint();
+        return new FakeEndpoint(new InetSocketAddress("127.0.0.1", 0));
     }
 
     /** An endpoint that serves every request. */
@@ -53,7 +60,7 @@
     }
 
     String address() {
-        return "127.0.0.1:" + listener.getLocalPort();
+        return listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
     }
 
     private void accept() {
--- a/sidecar/src/test/java/martenlatch/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SidecarFixture.java
@@ -36,6 +36,8 @@
 
     boolean cancel = true;
     String membership = "on_request";
+    /** Where the sidecar looks for discovery; the fake one above where the test says none. */
+    String discoveryAddress;
     /** Most tests have a discovery that never answers; those on the wait for a current list set it. */
     long maxListWaitMs = 0;
     /** The folder that outlives the sidecar, and where it takes operators' calls; none at first. */
@@ -114,7 +116,7 @@
                                         ? ""
                                         : "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"" + String.join("\",\"", peers)
                                                 + "\"],"),
-                        discovery.address(),
+                        discoveryAddress == null ? discovery.address() : discoveryAddress,
                         sockets,
                         list(1, true, lines.toArray(String[]::new)),
                         membership,
