Simulation: a process that is gone has its watch on discovery ended

Cause: the simulated discovery went on telling a watch of a process that had ended (plan 5 with one fault: the process ended at 5.592 s, its watch was told of a drain at 7.020 s, and its successor, which had no watch then, counted as notified). The protocol has a process that dies reset its connections. Until now the successor's first watch replaced the old one before this could show.

Change: SimSidecar ends its connection to discovery with the process.

--- a/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
@@ -186,7 +186,9 @@
         over();
     }
 
+    /** The process is gone, and its connections end with it. */
     private void over() {
+        toDiscovery.send(() -> discovery.leave(name));
         List<Runnable> all = List.copyOf(endings);
         endings.clear();
         all.forEach(Runnable::run);
