Failing test: after slow rejections a change is known later than the 6 s that are allowed

Symptom: a sidecar whose poll is rejected after 2 s polls again up to 3 s later and is answered 2 s after that: 7 s, where a change counts as notified 6 s after discovery had it and could be reached.

--- a/sidecar/src/test/java/martenlatch/policy/EndpointListPollingTest.java
+++ b/sidecar/src/test/java/martenlatch/policy/EndpointListPollingTest.java
@@ -20,6 +20,10 @@
 class EndpointListPollingTest {
 
     private static final int SEEDS = 500;
+    /** A change counts as notified so long after discovery had it and could be reached. */
+    private static final double MAX_LIST_AGE_MS = 6000;
+    /** In which discovery answers or rejects a poll. */
+    private static final double POLL_DURATION_MS = 2000;
     /** A change counts as notified after 6 s; the poll itself may take 2 s of them. */
     private static final double POLL_WITHIN_MS = 4000;
     /** Polls that are overdue are spread over so much. */
@@ -71,6 +75,31 @@
         assertTrue(longest(late) > 0.9 * overdueMs && longest(late) <= overdueMs, "" + longest(late));
     }
 
+    /**
+     * The aim: a change is known 6 s after discovery could be reached, the time of the polls themselves included. Here
+     * discovery fails every poll until some moment, each after the same time, and answers within the time of a poll
+     * from then on. With delays of up to 3 s, whatever the failed poll had taken, it could be 7 s.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, 100", "12, 100", "1000, 100", "2000, 100", "2000, 2", "3000, 100"})
+    void whenDiscoveryIsBackAChangeIsKnownInTimeAfterAnyFailures(double failsAfterMs, int balancers) {
+        BalancerSettings settings = settings(balancers, 10_000);
+        for (int seed = 0; seed < SEEDS; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            double backAtMs = 20_000 * random.nextDouble();
+            EndpointListPolling polling = new EndpointListPolling(random.split());
+            double now = polling.delayAtStart(settings);
+            assertTrue(polling.takeDuePoll(now));
+            while (now < backAtMs) {
+                now += failsAfterMs;
+                now += polling.delayAfterFailure(now, settings);
+                assertTrue(polling.takeDuePoll(now));
+            }
+            double knownAfterMs = now + POLL_DURATION_MS - backAtMs;
+            assertTrue(knownAfterMs <= MAX_LIST_AGE_MS, "known after " + knownAfterMs + " ms, seed " + seed);
+        }
+    }
+
     /** A watch may have been silent for long when it ended: the poll after it comes soon, and within the interval. */
     @ParameterizedTest
     @CsvSource({"1000, 500", "4000, 2000", "10000, 3000"})
