A failed poll's own time counts: the next one is answered within 6 s of discovery's return

Cause: the delay after a failed poll was up to 3 s whatever that poll had taken, so that a rejection after 2 s, the delay and the next poll's 2 s came to 7 s. EndpointListPolling's budget had no effect since: both of its bounds were 3 s.

Change: the delay is drawn from what the failed poll and the next one leave of 6 s, between 1 and 3 s: 3 s after a quick rejection, 2 s after a slow one. The budget without effect and its state are gone, with the tests that stood for it: failuresInARowDrawOnOneBudget asserted 3 s in any case and is replaced by theDelayAfterAFailureIs..., bounds from the aim; theNextPollIsDueInTime... no longer grants what a current list had left (stricter).

Why it holds: the poll that is out when discovery comes back has W, the delay at most 4 s less W, the next poll 2 s. It does not hold for polls that fail later than 3 s, nor where discovery rejects two polls in a row: that is discovery's capacity.

--- a/sidecar/src/main/java/martenlatch/policy/LoadBalancer.java
+++ b/sidecar/src/main/java/martenlatch/policy/LoadBalancer.java
@@ -227,7 +227,7 @@
             return;
         }
         if (kind != EndpointListKind.CACHED) {
-            polling.onList(nowMs);
+            polling.onList();
         }
         registry.applyList(nowMs, kind, entries);
         limiter.initialize();
--- a/sidecar/src/test/java/martenlatch/policy/EndpointListPollingTest.java
+++ b/sidecar/src/test/java/martenlatch/policy/EndpointListPollingTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** When discovery is polled: every delay comes out of one budget, over whatever sequence of events. */
+/** When discovery is polled, over whatever sequence of events. */
 class EndpointListPollingTest {
 
     private static final int SEEDS = 500;
@@ -24,10 +24,8 @@
     private static final double MAX_LIST_AGE_MS = 6000;
     /** In which discovery answers or rejects a poll. */
     private static final double POLL_DURATION_MS = 2000;
-    /** A change counts as notified after 6 s; the poll itself may take 2 s of them. */
-    private static final double POLL_WITHIN_MS = 4000;
-    /** Polls that are overdue are spread over so much. */
-    private static final double OVERDUE_MS = 3000;
+    /** The longest delay there is: with a poll of 2 s before or after it, it is within the 6 s. */
+    private static final double MAX_DELAY_MS = 3000;
 
     private static BalancerSettings settings(int balancers, double pollIntervalMs) {
         return BalancerFixture.settings(balancers, 0, 1, true, pollIntervalMs);
@@ -51,28 +49,36 @@
         assertEquals(0, alone.delayAtStart(settings(1, 10_000)));
     }
 
-    /** Failures in a row draw on one budget, which a list alone refills: their sum is bounded, not each of them. */
+    /** The longest delay is what the failed poll and the next one leave of the 6 s, within the settings' intervals. */
     @ParameterizedTest
-    @CsvSource({"500, 1500", "1000, 3000", "10000, 3000", "60000, 3000"})
-    void failuresInARowDrawOnOneBudget(double pollIntervalMs, double maxDelayMs) {
-        List<Double> late = new ArrayList<>();
-        List<Double> early = new ArrayList<>();
+    @CsvSource({
+        "10000, 0, 3000",
+        "10000, 1500, 2500",
+        "10000, 2000, 2000",
+        "10000, 3000, 1000",
+        "10000, 3900, 1000",
+        "10000, 15000, 3000",
+        "60000, 2000, 2000",
+        "1000, 0, 3000",
+        "500, 0, 1500",
+        "500, 2500, 1500"
+    })
+    void theDelayAfterAFailureIsWhatThePollsLeaveOfTheBudget(
+            double pollIntervalMs, double failedAfterMs, double maxDelayMs) {
+        List<Double> delays = new ArrayList<>();
         for (int seed = 0; seed < SEEDS; seed++) {
             EndpointListPolling polling = new EndpointListPolling(new SplittableRandom(seed));
             BalancerSettings settings = settings(100, pollIntervalMs);
-            polling.onList(0);
-            for (int failure = 0; failure < 4; failure++) {
-                early.add(polling.delayAfterFailure(0, settings));
-                assertTrue(polling.takeDuePoll(early.get(early.size() - 1)));
-            }
+            double now = polling.delayAtStart(settings);
             for (int failure = 0; failure < 4; failure++) {
-                late.add(polling.delayAfterFailure(POLL_WITHIN_MS, settings));
-                assertTrue(polling.takeDuePoll(POLL_WITHIN_MS + late.get(late.size() - 1)));
+                assertTrue(polling.takeDuePoll(now));
+                now += failedAfterMs;
+                double delayMs = polling.delayAfterFailure(now, settings);
+                delays.add(delayMs);
+                now += delayMs;
             }
         }
-        double overdueMs = Math.min(maxDelayMs, OVERDUE_MS);
-        assertTrue(longest(early) > 0.9 * maxDelayMs && longest(early) <= maxDelayMs, "" + longest(early));
-        assertTrue(longest(late) > 0.9 * overdueMs && longest(late) <= overdueMs, "" + longest(late));
+        assertTrue(longest(delays) > 0.9 * maxDelayMs && longest(delays) <= maxDelayMs, "" + longest(delays));
     }
 
     /**
@@ -107,7 +113,7 @@
         List<Double> delays = new ArrayList<>();
         for (int seed = 0; seed < SEEDS; seed++) {
             EndpointListPolling polling = new EndpointListPolling(new SplittableRandom(seed));
-            polling.onList(0);
+            polling.onList();
             delays.add(polling.delayAfterFailure(15_000, settings(100, pollIntervalMs)));
         }
         assertTrue(longest(delays) > 0.9 * maxDelayMs && longest(delays) <= maxDelayMs, "" + longest(delays));
@@ -123,30 +129,25 @@
             BalancerSettings settings = settings(balancers, 10_000);
             TreeSet<Double> timers = new TreeSet<>();
             timers.add(polling.delayAtStart(settings));
-            double currentAtMs = Double.NEGATIVE_INFINITY;
             double unwatchedSinceMs = 0;
             double polledAtMs = Double.NaN;
-            boolean listed = false;
             for (double now = 0; now < 60_000; now += 1 + random.nextInt(400)) {
                 while (!timers.isEmpty() && timers.first() <= now) {
                     double at = timers.pollFirst();
                     if (polling.takeDuePoll(at)) {
                         polledAtMs = at;
-                        listed = false;
                     }
                 }
                 boolean isPolling = !Double.isNaN(polledAtMs);
                 if (!isPolling) {
-                    double dueMs = Math.max(currentAtMs + POLL_WITHIN_MS, unwatchedSinceMs + OVERDUE_MS);
+                    double dueMs = unwatchedSinceMs + MAX_DELAY_MS;
                     assertTrue(now <= dueMs + 1, "no poll at " + now + ", due at " + dueMs + ", seed " + seed);
                     assertFalse(timers.isEmpty(), "seed " + seed);
                 }
                 switch (random.nextInt(12)) {
                     case 0 -> {
                         if (isPolling) {
-                            polling.onList(now);
-                            currentAtMs = now;
-                            listed = true;
+                            polling.onList();
                         }
                     }
                     case 1 -> {
@@ -157,9 +158,6 @@
                         }
                     }
                     case 2, 3 -> {
-                        if (isPolling && listed) {
-                            currentAtMs = now;
-                        }
                         if (isPolling) {
                             unwatchedSinceMs = now;
                         }
@@ -180,7 +178,7 @@
         for (int seed = 0; seed < SEEDS; seed++) {
             EndpointListPolling polling = new EndpointListPolling(new SplittableRandom(seed));
             BalancerSettings settings = settings(100, 10_000);
-            polling.onList(0);
+            polling.onList();
             double due = 1000 + polling.delayAfterMove(1000, settings);
             for (double now = 1000; now < due; now += 100) {
                 due = Math.min(due, now + polling.delayAfterMove(now, settings));
@@ -203,7 +201,7 @@
         fixture.list(BalancerFixture.endpoints(2));
         fixture.now += 60_000;
         fixture.balancer.onEndpointList(fixture.now, EndpointListKind.FAILED, List.of());
-        assertTrue(fixture.host.timers.get(1) <= OVERDUE_MS, "after a failure: " + fixture.host.timers);
+        assertTrue(fixture.host.timers.get(1) <= MAX_DELAY_MS, "after a failure: " + fixture.host.timers);
         fixture.balancer.onDiscoveryMoved(fixture.now);
         assertTrue(fixture.host.timers.get(2) <= fixture.host.timers.get(1), "a move: " + fixture.host.timers);
         fixture.now += fixture.host.timers.get(2);
