A move of discovery no longer aborts a poll that is under way

Callers saw: after moves by SIGHUP in a row requests went to endpoints that had left, for up to 2 s beyond the grace.

Change: a poll goes on at the address before until a later address has answered; its list is applied, its version is not used at the new address, and its failure is none of the new address. While one that is no watch is under way there, the poll at the new address waits for its end, so that moves in a row do not multiply polls. At most two go on. A whole list is waited for 3 s instead of 2, as a crowded discovery rejects it after 2 s: 3 s, 1 s of delay and a poll of 2 s are still within the 6.

Why it holds: no answer that discovery wrote is thrown away, and a poll that has queued keeps its place.

The simulated discovery knows connections.

--- a/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
@@ -87,6 +87,9 @@
     /** Who waits for this process's end. */
     private final List<Runnable> endings = new ArrayList<>();
 
+    /** This process's connections to discovery. */
+    private final List<SimDiscovery.Connection> connections = new ArrayList<>();
+
     private RequestTracker exchange;
     private boolean paused;
     private boolean alive;
@@ -183,7 +186,9 @@
 
     /** The process is gone, and its connections end with it. */
     private void over() {
-        toDiscovery.send(() -> discovery.leave(name));
+        List<SimDiscovery.Connection> ended = List.copyOf(connections);
+        connections.clear();
+        toDiscovery.send(() -> ended.forEach(discovery::end));
         List<Runnable> all = List.copyOf(endings);
         endings.clear();
         all.forEach(Runnable::run);
@@ -404,12 +409,27 @@
     // ---- the watch on discovery ----
 
     private final class Line implements DiscoveryTransport {
+        private final Map<Long, SimDiscovery.Connection> superseded = new HashMap<>();
+        private SimDiscovery.Connection connection = open();
+
+        private SimDiscovery.Connection open() {
+            SimDiscovery.Connection opened = new SimDiscovery.Connection(name);
+            connections.add(opened);
+            return opened;
+        }
+
+        private void end(SimDiscovery.Connection ended) {
+            connections.remove(ended);
+            toDiscovery.send(() -> discovery.end(ended));
+        }
+
         @Override
         public void send(Poll poll) {
             int mine = life;
             long index = poll.knownVersion().orElse(-1);
             long wait = poll.timing().waitMs();
-            toDiscovery.send(() -> discovery.ask(name, index, wait, new SimDiscovery.Caller() {
+            SimDiscovery.Connection present = connection;
+            toDiscovery.send(() -> discovery.ask(present, index, wait, new SimDiscovery.Caller() {
                 @Override
                 public void answered(EndpointList list) {
                     fromDiscovery.send(() -> enter(mine, () -> watch.onList(poll.number(), list)));
@@ -424,7 +444,26 @@
 
         @Override
         public void abort() {
-            toDiscovery.send(() -> discovery.leave(name));
+            end(connection);
+            connection = open();
+        }
+
+        @Override
+        public void leaveAddress(Poll outstanding) {
+            if (outstanding == null) {
+                end(connection);
+            } else {
+                superseded.put(outstanding.number(), connection);
+            }
+            connection = open();
+        }
+
+        @Override
+        public void endSuperseded(long poll) {
+            SimDiscovery.Connection ended = superseded.remove(poll);
+            if (ended != null) {
+                end(ended);
+            }
         }
     }
 
--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
@@ -1,6 +1,8 @@
 package martenlatch.discovery;
 
 import java.net.ConnectException;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
 import martenlatch.request.EndpointList;
@@ -12,9 +14,43 @@
  * Decides when discovery is polled, for what, and how long a response is waited for: poll after poll, until one fails.
  * The listener then decides how to go on, and calls {@link #start} again. No I/O: the transport reports what comes of
  * each poll by its number, and a report on a poll that is over changes nothing.
+ *
+ * <p>When discovery moves, polls that are under way go on at the addresses before until a later one has answered: a
+ * poll may have waited in a crowded queue, or its response may be on its way and counts as notified. Aborted, moves in
+ * a row would leave the list without an answer for as long as they come.
  */
 public final class EndpointListWatcher {
 
+    /** Addresses before the present one at which a poll goes on; with quick moves the oldest are given up. */
+    private static final int MAX_SUPERSEDED_POLLS = 2;
+
+    /** A poll that is under way. */
+    private final class OutstandingPoll {
+        private final Poll poll;
+        private Scheduler.Timer timeoutTimer;
+        private double timesOutAtMs;
+        /** The response has begun to come. */
+        private boolean responseStarted;
+
+        OutstandingPoll(Poll poll) {
+            this.poll = poll;
+            startTimeout(poll.timeoutMs());
+        }
+
+        private void startTimeout(double delayMs) {
+            timesOutAtMs = scheduler.now() + delayMs;
+            timeoutTimer = scheduler.after(delayMs, () -> onTimeout(this));
+        }
+
+        /** The rest of a response that has begun is due soon. */
+        void shortenTimeout(double delayMs) {
+            if (timesOutAtMs - scheduler.now() > delayMs) {
+                timeoutTimer.cancel();
+                startTimeout(delayMs);
+            }
+        }
+    }
+
     private final Scheduler scheduler;
     private final DiscoveryTransport transport;
     private final RateLimitedLogger logger;
@@ -23,18 +59,16 @@
     private EndpointList.Listener listener;
     /** The version known of discovery at the present address; empty calls for the whole list. */
     private OptionalLong knownVersion = OptionalLong.empty();
-
     /** Discovery has answered this process: before that, its list may be of any age. */
     private boolean answered;
 
     private long polls;
-    /** Null while no poll is outstanding. */
-    private Poll outstanding;
-
-    private Scheduler.Timer timeoutTimer;
-    private double timesOutAtMs;
-    /** The response to the outstanding poll has begun to come. */
-    private boolean responseStarted;
+    /** At the present address; null while no poll is under way there. */
+    private OutstandingPoll outstanding;
+    /** At addresses before, the oldest first. */
+    private final Deque<OutstandingPoll> superseded = new ArrayDeque<>();
+    /** A poll at the present address is due once those at addresses before that are no watches have ended. */
+    private boolean startIsDue;
     /** The last response broke off: a discovery whose responses always do is left alone for a while. */
     private boolean lastResponseBrokeOff;
 
@@ -54,18 +88,23 @@
         knownVersion = OptionalLong.of(version);
     }
 
-    /** Starts to poll; an outstanding poll goes on, and its response serves for both. */
+    /**
+     * Starts to poll; an outstanding poll at the present address goes on, and its response serves for both. One at an
+     * address before that is not a watch is about to end, and is waited for: moves in a row must not multiply polls.
+     */
     public void start() {
         if (outstanding != null) {
             return;
         }
+        startIsDue = isAnswerDueFromAddressBefore();
+        if (startIsDue) {
+            return;
+        }
         polls++;
-        outstanding = new Poll(
-                polls, knownVersion, answered ? timing.get() : timing.get().withoutWait());
-        responseStarted = false;
-        startTimeout(outstanding.timeoutMs());
-        pollLog.onSent(outstanding);
-        transport.send(outstanding);
+        PollTiming next = answered ? timing.get() : timing.get().withoutWait();
+        outstanding = new OutstandingPoll(new Poll(polls, knownVersion, next));
+        pollLog.onSent(outstanding.poll);
+        transport.send(outstanding.poll);
     }
 
     /**
@@ -74,39 +113,62 @@
      */
     public void onMoved() {
         knownVersion = OptionalLong.empty();
-        endOutstanding();
-        transport.abort();
+        transport.leaveAddress(outstanding == null ? null : outstanding.poll);
+        if (outstanding != null) {
+            superseded.addLast(outstanding);
+            outstanding = null;
+        }
+        if (superseded.size() > MAX_SUPERSEDED_POLLS) {
+            endSuperseded(superseded.getFirst());
+        }
         pollLog.onMoved();
         listener.onDiscoveryMoved();
     }
 
     /** The first bytes of a response have come: from then on the rest of it is due. */
     public void onResponseStarted(long poll) {
-        if (!isOutstanding(poll) || responseStarted) {
+        OutstandingPoll started = find(poll);
+        if (started == null || started.responseStarted) {
             return;
         }
-        responseStarted = true;
+        started.responseStarted = true;
         pollLog.onResponseStarted(poll);
-        double responseTimeoutMs = outstanding.timing().responseTimeoutMs();
-        if (timesOutAtMs - scheduler.now() > responseTimeoutMs) {
-            timeoutTimer.cancel();
-            startTimeout(responseTimeoutMs);
-        }
+        started.shortenTimeout(started.poll.timing().responseTimeoutMs());
     }
 
     /**
      * A list has come. Where that continues a watch the next poll is sent first, as it has to come soon; where the poll
-     * was one without a wait, the listener decides when a watch is started.
+     * was one without a wait, the listener decides when a watch is started. A list from an address before is applied,
+     * and the next poll goes to the present address when the listener says.
      */
     public void onList(long poll, EndpointList list) {
-        if (!isOutstanding(poll)) {
+        OutstandingPoll found = find(poll);
+        if (found == null) {
             return;
         }
-        boolean wasWatch = !outstanding.timing().isWithoutWait();
-        endOutstanding();
         pollLog.onList(poll, list);
-        lastResponseBrokeOff = false;
         answered = true;
+        if (found == outstanding) {
+            onPresentList(list);
+            return;
+        }
+        while (superseded.contains(found)) {
+            endSuperseded(superseded.getFirst());
+        }
+        listener.onEndpointList(list);
+        if (outstanding == null && !isAnswerDueFromAddressBefore()) {
+            startIsDue = false;
+            listener.onPollCompleted();
+        }
+    }
+
+    private void onPresentList(EndpointList list) {
+        boolean wasWatch = !outstanding.poll.timing().isWithoutWait();
+        endOutstanding();
+        while (!superseded.isEmpty()) {
+            endSuperseded(superseded.getFirst());
+        }
+        lastResponseBrokeOff = false;
         knownVersion = OptionalLong.of(list.version());
         if (wasWatch) {
             start();
@@ -119,52 +181,72 @@
 
     /** A poll has failed. */
     public void onFailure(long poll, Object cause) {
-        if (!isOutstanding(poll)) {
+        OutstandingPoll failed = find(poll);
+        if (failed == null) {
+            return;
+        }
+        pollLog.onFailure(poll, cause);
+        if (failed != outstanding) {
+            endSuperseded(failed);
+            if (startIsDue) {
+                start();
+            }
             return;
         }
         endOutstanding();
         lastResponseBrokeOff = false;
         transport.abort();
         logger.log("discovery failed", cause);
-        pollLog.onFailure(poll, cause);
         listener.onPollFailed(cause instanceof ConnectException ? PollFailure.UNREACHABLE : PollFailure.REJECTED);
     }
 
-    private void startTimeout(double delayMs) {
-        timesOutAtMs = scheduler.now() + delayMs;
-        timeoutTimer = scheduler.after(delayMs, this::onTimeout);
-    }
-
     /**
      * No response, or not a complete one. What a broken watch has missed counts as notified soon, and that it was
      * started long ago is of no use: it is started again at once.
      */
-    private void onTimeout() {
-        Poll timedOut = outstanding;
-        boolean brokeOff = responseStarted;
-        if (!timedOut.isWatch() || (brokeOff && lastResponseBrokeOff)) {
-            onFailure(timedOut.number(), "no answer in time");
+    private void onTimeout(OutstandingPoll timedOut) {
+        Poll poll = timedOut.poll;
+        boolean brokeOff = timedOut.responseStarted;
+        if (timedOut != outstanding || !poll.isWatch() || (brokeOff && lastResponseBrokeOff)) {
+            onFailure(poll.number(), "no answer in time");
             return;
         }
         endOutstanding();
         transport.abort();
         lastResponseBrokeOff = brokeOff;
-        String detail = brokeOff
-                ? "in the middle of a response"
-                : "no response after " + Math.round(timedOut.timeoutMs()) + " ms";
+        String detail =
+                brokeOff ? "in the middle of a response" : "no response after " + Math.round(poll.timeoutMs()) + " ms";
         logger.log("discovery watch timed out", detail);
-        pollLog.onFailure(timedOut.number(), detail);
+        pollLog.onFailure(poll.number(), detail);
         start();
     }
 
-    private boolean isOutstanding(long poll) {
-        return outstanding != null && poll == outstanding.number();
+    /** The poll with this number, or null if it is over. */
+    private OutstandingPoll find(long number) {
+        if (outstanding != null && outstanding.poll.number() == number) {
+            return outstanding;
+        }
+        for (OutstandingPoll each : superseded) {
+            if (each.poll.number() == number) {
+                return each;
+            }
+        }
+        return null;
+    }
+
+    private boolean isAnswerDueFromAddressBefore() {
+        return superseded.stream()
+                .anyMatch(each -> !each.poll.isWatch() || each.poll.timing().isWithoutWait());
     }
 
     private void endOutstanding() {
-        if (outstanding != null) {
-            outstanding = null;
-            timeoutTimer.cancel();
-        }
+        outstanding.timeoutTimer.cancel();
+        outstanding = null;
+    }
+
+    private void endSuperseded(OutstandingPoll ended) {
+        ended.timeoutTimer.cancel();
+        superseded.remove(ended);
+        transport.endSuperseded(ended.poll.number());
     }
 }
--- a/sidecar/src/main/java/martenlatch/discovery/PollTiming.java
+++ b/sidecar/src/main/java/martenlatch/discovery/PollTiming.java
@@ -13,8 +13,11 @@
  */
 public record PollTiming(long waitMs, double responseTimeoutMs, double fullListTimeoutMs) {
 
-    /** The time within which the whole list is complete; establishing a connection may take as long. */
-    public static final int FULL_LIST_TIMEOUT_MS = 2_000;
+    /** The time within which the whole list is complete: a crowded discovery rejects what has waited for 2 s. */
+    public static final int FULL_LIST_TIMEOUT_MS = 3_000;
+
+    /** The time within which a connection is established. */
+    static final int CONNECT_TIMEOUT_MS = 2_000;
 
     /** How long discovery waits for changes where it is to tell at once whether there are any. */
     private static final int NO_WAIT_MS = 1;
--- a/sidecar/src/main/java/martenlatch/policy/EndpointListPolling.java
+++ b/sidecar/src/main/java/martenlatch/policy/EndpointListPolling.java
@@ -25,6 +25,9 @@
     /** When the next poll is due; infinite while none is scheduled. */
     private double dueAtMs = Double.POSITIVE_INFINITY;
 
+    /** Discovery has moved since the last poll was sent. */
+    private boolean hasMoved;
+
     private int failures;
 
     EndpointListPolling(SplittableRandom random) {
@@ -37,22 +40,24 @@
         return random.nextDouble() * spreadOverFleet(settings, START_DELAY_MS);
     }
 
-    /** A list has come, and the watch goes on. */
+    /** A list has come, and the watch goes on; one from before the last move does not replace the poll that is due. */
     void onList() {
-        dueAtMs = Double.POSITIVE_INFINITY;
         failures = 0;
+        if (!hasMoved) {
+            dueAtMs = Double.POSITIVE_INFINITY;
+        }
     }
 
     /**
-     * The first poll of a process is answered, and the next one starts its watch; returns the delay of that. It comes
-     * after the first polls of a fleet that starts together: otherwise those would wait behind watches, which are not
-     * urgent while the list is as young.
+     * A list has come and no watch is open, as after the first poll of a process; returns the delay of the poll that
+     * starts one. It comes after the first polls of a fleet that starts together: otherwise those would wait behind
+     * watches, which are not urgent while the list is as young.
      */
     double delayAfterFirstList(double nowMs, BalancerSettings settings) {
         double withinMs = Math.min(MAX_DELAY_MS, settings.rules().pollIntervalMs() / 2);
         double delayMs = withinMs * (1 + random.nextDouble()) / 2;
-        dueAtMs = nowMs + spreadOverFleet(settings, delayMs);
-        return dueAtMs - nowMs;
+        dueAtMs = Math.min(dueAtMs, nowMs + spreadOverFleet(settings, delayMs));
+        return Math.max(0, dueAtMs - nowMs);
     }
 
     /** The poll has failed, or the watch has ended; returns the delay of the next poll. */
@@ -67,6 +72,7 @@
      * is not put off.
      */
     double delayAfterMove(double nowMs, BalancerSettings settings) {
+        hasMoved = true;
         double allowedMs = Math.min(MAX_DELAY_MS, settings.rules().pollIntervalMs() / 2);
         return schedule(nowMs, spreadOverFleet(settings, allowedMs));
     }
@@ -79,6 +85,7 @@
         }
         dueAtMs = Double.POSITIVE_INFINITY;
         polledAtMs = nowMs;
+        hasMoved = false;
         return true;
     }
 
--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -252,7 +252,11 @@
 
     @Override
     public void onPollCompleted() {
-        events.enqueue(balancer::onPollCompleted);
+        if (settings.pollsEndpointList()) {
+            events.enqueue(balancer::onPollCompleted);
+        } else {
+            pollEndpointList.run();
+        }
     }
 
     @Override
