Checks that fail on a stand-in's own thread fail the test that closes it

Cause: DiscoveryRaceTest.aCallThatCrosses... waited on its stand-in's thread for a call that never came once the test was over, and threw there 20 s later, where nobody heard it; seen in each run of the class today.

Change: the stand-in waits for the next call or the end of the connection, whichever comes; FakeEndpoint keeps checks that fail in scripts, and throws the first when it is closed.

--- a/sidecar/src/test/java/martenlatch/sidecar/DiscoveryRaceTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/DiscoveryRaceTest.java
@@ -98,8 +98,9 @@
                             true,
                             SidecarFixture.line(0, fixture.endpoints.get(0).address(), "in_service", 0)));
             if (how.equals("reset")) {
-                // Only when the answer has been taken: a reset may overtake it.
-                SidecarFixture.await("the next call is here", () -> available(wire) > 0);
+                // Only when the answer has been taken, as the next call or the end of the test shows: a reset may
+                // overtake it.
+                wire.socket.getInputStream().read();
                 wire.reset();
             } else {
                 wire.close();
@@ -445,14 +446,6 @@
         }
     }
 
-    private static int available(RawHttpClient wire) {
-        try {
-            return wire.socket.getInputStream().available();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     private static void breakOff(RawHttpClient wire, String half) throws Exception {
         if (!half.equals("trickle")) {
             wire.send(half).awaitEnd();
--- a/sidecar/src/test/java/martenlatch/sidecar/FakeEndpoint.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/FakeEndpoint.java
@@ -23,6 +23,9 @@
     final List<RawHttpClient.Message> requests = new CopyOnWriteArrayList<>();
     final AtomicInteger connections = new AtomicInteger();
     final AtomicInteger open = new AtomicInteger();
+    /** Checks that failed in scripts, on threads of their own: whoever closes the endpoint hears of them. */
+    private final List<AssertionError> failedChecks = new CopyOnWriteArrayList<>();
+
     volatile Script script;
     private Thread acceptor;
 
@@ -87,6 +90,8 @@
         } catch (Exception e) {
             // The connection is over, which the counter below tells.
             return;
+        } catch (AssertionError e) {
+            failedChecks.add(e);
         } finally {
             open.decrementAndGet();
         }
@@ -110,5 +115,8 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        if (!failedChecks.isEmpty()) {
+            throw failedChecks.get(0);
+        }
     }
 }
