--- a/fleet/src/main/java/martenlatch/fleet/history/Event.java
+++ b/fleet/src/main/java/martenlatch/fleet/history/Event.java
@@ -34,6 +34,8 @@
         CHANGED,
         /** A sidecar's call to discovery has come to its turn; the detail is answered or refused. */
         LIST_CALL,
+        /** Discovery has taken a call that may wait; the detail is for how long, in milliseconds. */
+        LONG_POLL,
         /** An endpoint has started; for how long it is cold is in the detail, in milliseconds. */
         ENDPOINT_UP,
         /** A process: started, serving, paused, resumed, signalled, ended. */
--- a/fleet/src/main/java/martenlatch/fleet/judge/Rules.java
+++ b/fleet/src/main/java/martenlatch/fleet/judge/Rules.java
@@ -14,5 +14,8 @@
     /** What discovery has to tell counts as told so much later at the latest, whether or not it arrived. */
     public static final double TOLD_WITHIN_MS = 6000;
 
+    /** What a long poll misses that falls silent counts as told so long after its wait, if that is later. */
+    public static final double LONG_POLL_SLACK_MS = 2000;
+
     private Rules() {}
 }
--- a/fleet/src/main/java/martenlatch/fleet/sim/SimDiscovery.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimDiscovery.java
@@ -95,6 +95,9 @@
             caller.refused();
             return;
         }
+        if (index >= version || (index >= 0 && manner == Manner.SILENT)) {
+            history.tell(What.LONG_POLL, connection.viewer, "discovery", "", String.valueOf(waitMs));
+        }
         Watch watch = new Watch(connection, index, caller);
         if (index < version || manner != Manner.GOOD) {
             answer(watch);
--- a/fleet/src/test/java/martenlatch/fleet/judge/JudgesTest.java
+++ b/fleet/src/test/java/martenlatch/fleet/judge/JudgesTest.java
@@ -240,4 +240,17 @@
         asked(8100, "r2").ran(8110, "r2", "s0").ended(8150, "r2", "SERVED");
         assertEquals("r2", verdict(fault + "loss = 0.4\n").findings().get(0).id());
     }
+
+    /** A long poll that discovery was silent on may notice that when its wait is over: 2 s later at the latest. */
+    @Test
+    void whatASilentLongPollMissedCountsAsToldTwoSecondsAfterItsWait() {
+        String silence = "[[fault]]\nat = 2\nfor = 1\ndo = \"silent\"\n";
+        at(1000, What.LONG_POLL, "n0", "discovery", "", "10000")
+                .at(2500, What.CHANGED, "discovery", "s0", "", "terminating");
+        asked(13_400, "r1").ran(13_410, "r1", "s0").ended(13_420, "r1", "SERVED");
+        assertClean(silence);
+        assertFound("drain", "r1");
+        asked(13_600, "r2").ran(13_610, "r2", "s0").ended(13_620, "r2", "SERVED");
+        assertEquals("r2", verdict(silence).findings().get(0).id());
+    }
 }
