--- a/review/stand/Stand.java
+++ b/review/stand/Stand.java
@@ -77,7 +77,12 @@
 
         /** Starts a sidecar and waits until it is ready. */
         Sidecar start(Discovery discovery, String settings) throws IOException {
-            Sidecar sidecar = new Sidecar(root, folder, discovery, settings);
+            return start(discovery, settings, discovery.list(0));
+        }
+
+        /** The same with a list that may be older than discovery's. */
+        Sidecar start(Discovery discovery, String settings, String known) throws IOException {
+            Sidecar sidecar = new Sidecar(root, folder, discovery, settings, known);
             sidecars.add(sidecar);
             if (!sidecar.awaitReady(30_000)) {
                 throw new IOException("the sidecar is not ready");
@@ -331,24 +336,49 @@
 
     /** Discovery as the protocol page has it: the whole list, and watches, which are told the entries that changed. */
     static final class Discovery {
-        final ServerSocket listener;
+        private final int port;
+        private ServerSocket listener;
+        private final List<Socket> sockets = new ArrayList<>();
         private final List<Endpoint> endpoints;
         private final Record record;
         private final Map<Endpoint, Integer> changedIn = new HashMap<>();
         private int version = 1;
         /** The time over which the bytes of an answer are spread. */
         volatile double spreadMs;
+        /** The time that a call waits for its turn before it is looked at. */
+        volatile double turnMs;
 
         Discovery(List<Endpoint> endpoints, Record record) throws IOException {
             this.endpoints = endpoints;
             this.record = record;
             listener = new ServerSocket();
             listener.bind(new InetSocketAddress(HOST, 0), 64);
+            port = listener.getLocalPort();
             Stand.start("discovery", this::accept);
         }
 
         int port() {
-            return listener.getLocalPort();
+            return port;
+        }
+
+        /** Ends all connections and refuses new ones. */
+        void goDown() throws IOException {
+            record.line("discovery: down");
+            listener.close();
+            synchronized (sockets) {
+                for (Socket socket : sockets) {
+                    socket.close();
+                }
+                sockets.clear();
+            }
+        }
+
+        void comeBack() throws IOException {
+            listener = new ServerSocket();
+            listener.setReuseAddress(true);
+            listener.bind(new InetSocketAddress(HOST, port), 64);
+            record.line("discovery: back");
+            Stand.start("discovery", this::accept);
         }
 
         /** Changes the state of an endpoint, which ends the watches that wait. */
@@ -391,6 +421,9 @@
                 try {
                     Socket socket = listener.accept();
                     socket.setTcpNoDelay(true);
+                    synchronized (sockets) {
+                        sockets.add(socket);
+                    }
                     Stand.start("discovery-connection", () -> serve(socket));
                 } catch (IOException e) {
                     return;
@@ -405,6 +438,7 @@
                     record.line("discovery: asked %s", call.first);
                     Matcher watch = Pattern.compile("index=(\\d+)&wait=(\\d+)").matcher(call.first);
                     int since = watch.find() ? Integer.parseInt(watch.group(1)) : 0;
+                    sleep(turnMs);
                     if (since > 0) {
                         awaitChange(since, Long.parseLong(watch.group(2)));
                     }
@@ -437,7 +471,7 @@
         final int adminPort;
         final Path folder;
 
-        Sidecar(Path root, Path folder, Discovery discovery, String settings) throws IOException {
+        Sidecar(Path root, Path folder, Discovery discovery, String settings, String known) throws IOException {
             this.folder = folder;
             port = freePort();
             adminPort = freePort();
@@ -449,7 +483,7 @@
                     "{\"name\":\"n1\",\"listen\":\"" + listen + "\",\"admin\":\"" + HOST + ":" + adminPort
                             + "\",\"discovery\":\"" + discoveryAddress + "\",\"seed\":\"8c1f30d27a5be964\","
                             + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
-                            + "\"known\":" + discovery.list(0) + ",\"settings\":" + settings + "}");
+                            + "\"known\":" + known + ",\"settings\":" + settings + "}");
             Path tmp = Files.createDirectories(folder.resolve("tmp"));
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runCommand(root));
             builder.directory(root.toFile());
