--- a/review/stand/UnreadAnswers.java
+++ b/review/stand/UnreadAnswers.java
@@ -10,8 +10,10 @@
  * disruption: the former read nothing for 4.5 s. Each request has to get its final answer.
  */
 final class UnreadAnswers {
-    private static final int READERS = 150;
-    private static final int GAP_MS = 8;
+    private static final int READERS = 200;
+    /** The next client begins when the look-ups of the one before have been run, or after this time. */
+    private static final int MAX_GAP_MS = 20;
+
     private static final int LOOK_UPS = 8;
     private static final int ANSWER_BYTES = 63 * 1024;
     private static final int PAUSE_MS = 4500;
@@ -23,6 +25,7 @@
 
     private static final int PLAY_MS = 16_000;
 
+    private final AtomicInteger runs = new AtomicInteger();
     private final AtomicInteger served = new AtomicInteger();
     private final AtomicInteger refused = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
@@ -38,7 +41,9 @@
                 16,
                 (endpoint, request) -> {
                     stage.record.line("endpoint %s: ran %s", endpoint.id, request.header("x-request-id"));
-                    return new byte[request.first.contains("all=1") ? ANSWER_BYTES : 20];
+                    boolean all = request.first.contains("all=1");
+                    runs.addAndGet(all ? 1 : 0);
+                    return new byte[all ? ANSWER_BYTES : 20];
                 },
                 stage.record);
         String settings =
@@ -51,8 +56,9 @@
         }
         Stand.sleep(1000);
         for (int i = 0; i < READERS; i++) {
+            int expected = runs.get() + LOOK_UPS;
             clients.add(Stand.start("reader", () -> lookUps(sidecar, stage.record)));
-            Stand.sleep(GAP_MS);
+            awaitRuns(expected, MAX_GAP_MS);
         }
         for (Thread client : clients) {
             client.join();
@@ -64,6 +70,13 @@
                         served.get(), refused.get(), lost.get(), small.get(), lostSmall.get()));
     }
 
+    private void awaitRuns(int expected, int maxMs) {
+        double untilMs = Stand.nowMs() + maxMs;
+        do {
+            Stand.sleep(5);
+        } while (runs.get() < expected && Stand.nowMs() < untilMs);
+    }
+
     private void smallRequests(Stand.Sidecar sidecar, Stand.Record record, double endMs) {
         while (Stand.nowMs() < endMs) {
             String id = Stand.newId();
