Log how much of a discovery response has arrived when its poll is cut

Change: the connection reports the bytes of a response as they arrive, and the lines of a cut poll say how many there were, over which time, and how long ago the last ones came. No change of behaviour.

--- a/sidecar/src/main/java/martenlatch/discovery/DiscoveryClient.java
+++ b/sidecar/src/main/java/martenlatch/discovery/DiscoveryClient.java
@@ -94,8 +94,8 @@
     /** Forwards the results of polls to the watcher. */
     private final class ResultForwarder implements DiscoveryConnection.Listener {
         @Override
-        public void onResponseStarted(long poll) {
-            watcher.onResponseStarted(poll);
+        public void onResponseBytes(long poll, int count) {
+            watcher.onResponseBytes(poll, count);
         }
 
         @Override
--- a/sidecar/src/main/java/martenlatch/discovery/DiscoveryConnection.java
+++ b/sidecar/src/main/java/martenlatch/discovery/DiscoveryConnection.java
@@ -1,6 +1,7 @@
 package martenlatch.discovery;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -33,8 +34,8 @@
 
     /** Receives the results of polls, identified by their numbers. */
     interface Listener {
-        /** Called when the first bytes of a response arrive; may be called again for the same response. */
-        void onResponseStarted(long poll);
+        /** Called when bytes of a response arrive, before the response is complete. */
+        void onResponseBytes(long poll, int count);
 
         /** Called when a complete endpoint list has arrived; the poll is finished. */
         void onList(long poll, EndpointList list);
@@ -87,7 +88,7 @@
                         newChannel
                                 .pipeline()
                                 .addLast(
-                                        new ResponseStartHandler(),
+                                        new ResponseProgressHandler(),
                                         new HttpClientCodec(),
                                         new HttpObjectAggregator(MAX_RESPONSE_BYTES),
                                         new ResponseHandler());
@@ -168,13 +169,13 @@
         }
     }
 
-    /** Reports the first bytes of a response, which may arrive long before the aggregated response. */
-    private final class ResponseStartHandler extends ChannelInboundHandlerAdapter {
+    /** Reports the bytes of a response as they arrive, which may be long before the aggregated response. */
+    private final class ResponseProgressHandler extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object bytes) {
             if (ctx.channel() == channel && outstanding != null) {
                 closeRaceUntilMs = 0;
-                listener.onResponseStarted(outstanding.number());
+                listener.onResponseBytes(outstanding.number(), ((ByteBuf) bytes).readableBytes());
             }
             ctx.fireChannelRead(bytes);
         }
--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
@@ -30,14 +30,28 @@
         private final Poll poll;
         private Scheduler.Timer timeoutTimer;
         private double timesOutAtMs;
-        /** Whether the first bytes of the response have arrived. */
-        private boolean responseStarted;
+        /** The bytes of the response that have arrived. */
+        private long receivedBytes;
+
+        private double firstBytesAtMs;
+        private double lastBytesAtMs;
 
         OutstandingPoll(Poll poll) {
             this.poll = poll;
             startTimeout(poll.timeoutMs());
         }
 
+        boolean hasResponseStarted() {
+            return receivedBytes > 0;
+        }
+
+        /** Describes how much of the response has arrived and when. */
+        String describeProgress() {
+            double nowMs = scheduler.now();
+            return receivedBytes + " bytes in " + Math.round(nowMs - firstBytesAtMs) + " ms, the last "
+                    + Math.round(nowMs - lastBytesAtMs) + " ms ago";
+        }
+
         private void startTimeout(double delayMs) {
             timesOutAtMs = scheduler.now() + delayMs;
             timeoutTimer = scheduler.after(delayMs, () -> onTimeout(this));
@@ -130,15 +144,21 @@
         listener.onDiscoveryMoved();
     }
 
-    /** Called when the first bytes of a response arrive; shortens the timeout for the rest of the response. */
-    public void onResponseStarted(long poll) {
-        OutstandingPoll started = findOutstanding(poll);
-        if (started == null || started.responseStarted) {
+    /** Called when bytes of a response arrive; the first ones shorten the timeout for the rest of the response. */
+    public void onResponseBytes(long poll, int count) {
+        OutstandingPoll responding = findOutstanding(poll);
+        if (responding == null) {
+            return;
+        }
+        boolean isFirst = !responding.hasResponseStarted();
+        responding.receivedBytes += count;
+        responding.lastBytesAtMs = scheduler.now();
+        if (!isFirst) {
             return;
         }
-        started.responseStarted = true;
+        responding.firstBytesAtMs = scheduler.now();
         pollLog.onResponseStarted(poll);
-        started.shortenTimeout(started.poll.timing().responseTimeoutMs());
+        responding.shortenTimeout(responding.poll.timing().responseTimeoutMs());
     }
 
     /**
@@ -211,16 +231,17 @@
      */
     private void onTimeout(OutstandingPoll timedOut) {
         Poll poll = timedOut.poll;
-        boolean truncated = timedOut.responseStarted;
+        boolean truncated = timedOut.hasResponseStarted();
+        String detail = truncated
+                ? "in the middle of a response (" + timedOut.describeProgress() + ")"
+                : "no response after " + Math.round(poll.timeoutMs()) + " ms";
         if (timedOut != outstanding || !poll.isWatch() || (truncated && lastResponseTruncated)) {
-            onFailure(poll.number(), "no answer in time");
+            onFailure(poll.number(), "no answer in time: " + detail);
             return;
         }
         endOutstanding();
         transport.abort();
         lastResponseTruncated = truncated;
-        String detail =
-                truncated ? "in the middle of a response" : "no response after " + Math.round(poll.timeoutMs()) + " ms";
         logger.log("discovery watch timed out", detail);
         pollLog.onFailure(poll.number(), detail);
         start();
--- a/sidecar/src/test/java/martenlatch/discovery/EndpointListWatcherTest.java
+++ b/sidecar/src/test/java/martenlatch/discovery/EndpointListWatcherTest.java
@@ -236,7 +236,7 @@
                     }
                     case 1 -> test.answer(target, i);
                     case 2 -> test.watcher.onFailure(target, "said so");
-                    case 5 -> test.watcher.onResponseStarted(target);
+                    case 5 -> test.watcher.onResponseBytes(target, 1);
                     case 3 -> test.clock.advance(random.nextInt(3) * 12_000);
                     default -> test.watcher.onMoved();
                 }
@@ -271,7 +271,7 @@
         }
         answer(2, 9);
         watcher.onFailure(2, "late");
-        watcher.onResponseStarted(2);
+        watcher.onResponseBytes(2, 1);
         assertEquals(List.of(1, 0, 6), List.of(transport.lists, transport.failures, transport.polls.size()));
     }
 
@@ -294,15 +294,15 @@
     void truncatedResponseTimesOutEarly() {
         startWatch();
         clock.advance(500);
-        watcher.onResponseStarted(2);
+        watcher.onResponseBytes(2, 1);
         clock.advance(600);
-        watcher.onResponseStarted(2);
+        watcher.onResponseBytes(2, 1);
         clock.advance(399);
         assertEquals(2, transport.polls.size());
         clock.advance(1);
         assertEquals(List.of(3, 0), List.of(transport.polls.size(), transport.failures));
         clock.advance(20_000 + 500);
-        watcher.onResponseStarted(3);
+        watcher.onResponseBytes(3, 1);
         clock.advance(499);
         assertEquals(0, transport.failures);
         clock.advance(1);
@@ -312,7 +312,7 @@
                 "a second truncated response in a row is a failure");
         watcher.start();
         answer(4, 9);
-        watcher.onResponseStarted(5);
+        watcher.onResponseBytes(5, 1);
         clock.advance(1000);
         assertEquals(
                 List.of(6, 1),
