Hear out a discovery response while its bytes keep arriving

Cause: EndpointListWatcher cut every poll 1 s after the first bytes of its response, whether or not bytes kept arriving, and sent it again with the same time.

Change: 1 s is now the longest time without bytes of a response, not the time of a whole one. Bytes alone must not hold the watch for ever either: of the 6 s after which a change counts as notified 2 s belong to a further poll and its response, so after 4 s the slow poll goes on in the background, on its own connection, and another is sent beside it. What arrives first is applied; an older list than the one applied is ignored. The next slow response gets twice the time, so that slow responses cost discovery few further polls. A stalled response goes on in the background too, for 6 s of silence at most, while its poll is sent anew as before. One poll at most is in the background, 60 s at most.

The first bytes alone still extend nothing (a watch that stalls there is cut 1 s after its wait at the latest). One check of truncatedResponseTimesOutEarly is replaced: it held that a response of which further bytes arrive 0.6 s after the first is cut 0.4 s later, which is the fault.

--- a/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
@@ -469,7 +469,7 @@
         }
 
         @Override
-        public void switchAddress(Poll outstanding) {
+        public void useNewConnection(Poll outstanding) {
             if (outstanding == null) {
                 end(connection);
             } else {
--- a/sidecar/src/main/java/martenlatch/discovery/DiscoveryClient.java
+++ b/sidecar/src/main/java/martenlatch/discovery/DiscoveryClient.java
@@ -10,8 +10,8 @@
 import martenlatch.request.Scheduler;
 
 /**
- * Polls discovery at its current address. A poll that was sent before discovery moved keeps its own connection to the
- * previous address until the watcher ends it.
+ * Polls discovery at its current address. A poll that was sent before discovery moved, or whose response is slow, keeps
+ * its own connection until the watcher ends it.
  */
 public final class DiscoveryClient implements DiscoveryTransport {
 
@@ -22,7 +22,7 @@
     private final DiscoveryConnection.Listener results = new ResultForwarder();
     private InetSocketAddress address;
     private DiscoveryConnection connection;
-    /** The connections to previous addresses by the number of their outstanding poll; the watcher limits them. */
+    /** The connections of superseded polls by the number of the poll; the watcher limits them. */
     private final Map<Long, DiscoveryConnection> superseded = new HashMap<>();
 
     /** Creates a client that sends nothing yet; {@code timing} supplies the timing of each poll. */
@@ -74,7 +74,7 @@
     }
 
     @Override
-    public void switchAddress(Poll outstanding) {
+    public void useNewConnection(Poll outstanding) {
         if (outstanding != null) {
             superseded.put(outstanding.number(), connection);
         } else {
--- a/sidecar/src/main/java/martenlatch/discovery/DiscoveryTransport.java
+++ b/sidecar/src/main/java/martenlatch/discovery/DiscoveryTransport.java
@@ -1,6 +1,6 @@
 package martenlatch.discovery;
 
-/** Sends polls to discovery: one at a time at its current address, besides those that were sent before it moved. */
+/** Sends polls to discovery: one at a time on its current connection, besides those that continue on earlier ones. */
 public interface DiscoveryTransport {
 
     /**
@@ -13,12 +13,13 @@
     void abort();
 
     /**
-     * Sends further polls to the new address of discovery, while the outstanding poll continues at the previous one.
+     * Sends further polls on a new connection to the current address of discovery, while the outstanding poll continues
+     * on its own.
      *
      * @param outstanding the poll that continues until {@link #endSuperseded}, or null if there is none
      */
-    void switchAddress(Poll outstanding);
+    void useNewConnection(Poll outstanding);
 
-    /** Aborts a poll that was sent before discovery moved, and closes its connection. */
+    /** Aborts a poll that continues on a connection of its own, and closes that connection. */
     void endSuperseded(long poll);
 }
--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
@@ -15,6 +15,11 @@
  * watch starts the next one until a poll fails; the listener then decides when to call {@link #start} again. This class
  * does no I/O: the transport reports the result of each poll by its number, and reports on finished polls are ignored.
  *
+ * <p>A response of which bytes keep arriving is slow but not broken: it is not aborted in favor of another poll, which
+ * would take as long. If it takes so long that changes would be learned too late in case it never ends, the poll
+ * continues in the background and another one is sent beside it. The next such response gets twice the time, so that
+ * slow responses cost an overloaded discovery few further polls.
+ *
  * <p>When discovery moves to another address, outstanding polls continue at the previous addresses until a later
  * address has responded. Such a poll may already have waited in the queue of an overloaded discovery, or its response
  * may be in transit, in which case its changes count as notified. If every move aborted the outstanding poll, a series
@@ -22,49 +27,11 @@
  */
 public final class EndpointListWatcher {
 
-    /** The maximum number of previous addresses at which a poll continues; beyond it the oldest poll is aborted. */
+    /** The maximum number of polls beside the current one; beyond it the oldest poll is aborted. */
     private static final int MAX_SUPERSEDED_POLLS = 2;
 
-    /** A poll that has been sent and is not finished, with its timeout. */
-    private final class OutstandingPoll {
-        private final Poll poll;
-        private Scheduler.Timer timeoutTimer;
-        private double timesOutAtMs;
-        /** The bytes of the response that have arrived. */
-        private long receivedBytes;
-
-        private double firstBytesAtMs;
-        private double lastBytesAtMs;
-
-        OutstandingPoll(Poll poll) {
-            this.poll = poll;
-            startTimeout(poll.timeoutMs());
-        }
-
-        boolean hasResponseStarted() {
-            return receivedBytes > 0;
-        }
-
-        /** Describes how much of the response has arrived and when. */
-        String describeProgress() {
-            double nowMs = scheduler.now();
-            return receivedBytes + " bytes in " + Math.round(nowMs - firstBytesAtMs) + " ms, the last "
-                    + Math.round(nowMs - lastBytesAtMs) + " ms ago";
-        }
-
-        private void startTimeout(double delayMs) {
-            timesOutAtMs = scheduler.now() + delayMs;
-            timeoutTimer = scheduler.after(delayMs, () -> onTimeout(this));
-        }
-
-        /** Reduces the remaining time to {@code delayMs} if it is longer. */
-        void shortenTimeout(double delayMs) {
-            if (timesOutAtMs - scheduler.now() > delayMs) {
-                timeoutTimer.cancel();
-                startTimeout(delayMs);
-            }
-        }
-    }
+    /** The time of a slow response doubles at most this often. */
+    private static final int MAX_RESPONSE_TIME_DOUBLINGS = 4;
 
     private final Scheduler scheduler;
     private final DiscoveryTransport transport;
@@ -78,17 +45,21 @@
     private boolean hasReceivedList;
 
     private long lastPollNumber;
+    /** The number of moves of discovery, which identifies its current address. */
+    private int addressNumber;
+    /** The number of slow responses since the last list from the current address. */
+    private int slowResponses;
     /** The poll at the current address, or null if there is none. */
     private OutstandingPoll outstanding;
-    /** The polls that continue at previous addresses, oldest first. */
+    /** The polls that continue at previous addresses or in the background, oldest first. */
     private final Deque<OutstandingPoll> superseded = new ArrayDeque<>();
     /** Whether {@link #start} was deferred until the polls at previous addresses that end soon have ended. */
     private boolean startDeferred;
     /**
-     * Whether the last response was truncated. A second truncated response in a row fails the poll instead of being
-     * retried at once, so that a discovery which truncates every response is not polled in a tight loop.
+     * Whether the last response stalled. A second stalled response in a row fails the poll instead of being retried at
+     * once, so that a discovery which truncates every response is not polled in a tight loop.
      */
-    private boolean lastResponseTruncated;
+    private boolean lastResponseStalled;
 
     /** Creates a watcher that sends nothing yet; {@code timing} supplies the timing of each poll. */
     public EndpointListWatcher(
@@ -121,9 +92,11 @@
         }
         lastPollNumber++;
         PollTiming next = hasReceivedList ? timing.get() : timing.get().withoutWait();
-        outstanding = new OutstandingPoll(new Poll(lastPollNumber, knownVersion, next));
-        pollLog.onSent(outstanding.poll);
-        transport.send(outstanding.poll);
+        Poll poll = new Poll(lastPollNumber, knownVersion, next);
+        double maxResponseMs = next.maxResponseMs() * (1 << Math.min(slowResponses, MAX_RESPONSE_TIME_DOUBLINGS));
+        outstanding = new OutstandingPoll(scheduler, poll, addressNumber, maxResponseMs, this::onTimeout);
+        pollLog.onSent(poll);
+        transport.send(poll);
     }
 
     /**
@@ -132,7 +105,9 @@
      */
     public void onMoved() {
         knownVersion = OptionalLong.empty();
-        transport.switchAddress(outstanding == null ? null : outstanding.poll);
+        addressNumber++;
+        slowResponses = 0;
+        transport.useNewConnection(outstanding == null ? null : outstanding.poll());
         if (outstanding != null) {
             superseded.addLast(outstanding);
             outstanding = null;
@@ -144,21 +119,16 @@
         listener.onDiscoveryMoved();
     }
 
-    /** Called when bytes of a response arrive; the first ones shorten the timeout for the rest of the response. */
+    /** Called when bytes of a response arrive. */
     public void onResponseBytes(long poll, int count) {
         OutstandingPoll responding = findOutstanding(poll);
         if (responding == null) {
             return;
         }
-        boolean isFirst = !responding.hasResponseStarted();
-        responding.receivedBytes += count;
-        responding.lastBytesAtMs = scheduler.now();
-        if (!isFirst) {
-            return;
+        if (!responding.hasResponseStarted()) {
+            pollLog.onResponseStarted(poll);
         }
-        responding.firstBytesAtMs = scheduler.now();
-        pollLog.onResponseStarted(poll);
-        responding.shortenTimeout(responding.poll.timing().responseTimeoutMs());
+        responding.onBytes(count);
     }
 
     /**
@@ -167,40 +137,50 @@
      * short. A list from a previous address is passed on too; the listener then decides when to poll the current one.
      */
     public void onList(long poll, EndpointList list) {
-        OutstandingPoll found = findOutstanding(poll);
-        if (found == null) {
+        OutstandingPoll answered = findOutstanding(poll);
+        if (answered == null) {
             return;
         }
-        pollLog.onList(poll, list);
+        pollLog.onList(answered, list);
         hasReceivedList = true;
-        if (found == outstanding) {
-            onListFromCurrentAddress(list);
-            return;
+        boolean isOutdated = answered.isOutdated(list.version());
+        endUpTo(answered);
+        if (answered.addressNumber() == addressNumber) {
+            onListFromCurrentAddress(answered.poll(), list.version(), isOutdated);
         }
-        while (superseded.contains(found)) {
-            endSuperseded(superseded.getFirst());
+        if (!isOutdated) {
+            listener.onEndpointList(list);
         }
-        listener.onEndpointList(list);
         if (outstanding == null && !isResponseDueFromPreviousAddress()) {
             startDeferred = false;
             listener.onPollCompleted();
         }
     }
 
-    private void onListFromCurrentAddress(EndpointList list) {
-        boolean continuesWatch = !outstanding.poll.timing().isWithoutWait();
-        endOutstanding();
-        while (!superseded.isEmpty()) {
+    /** Ends a poll that was answered and all earlier ones. */
+    private void endUpTo(OutstandingPoll answered) {
+        boolean isLatest = answered == outstanding;
+        if (isLatest) {
+            endOutstanding();
+        }
+        while (isLatest ? !superseded.isEmpty() : superseded.contains(answered)) {
             endSuperseded(superseded.getFirst());
         }
-        lastResponseTruncated = false;
-        knownVersion = OptionalLong.of(list.version());
-        if (continuesWatch) {
-            start();
+    }
+
+    /** Continues the watch from the version that has arrived, unless a later poll does so already. */
+    private void onListFromCurrentAddress(Poll answered, long version, boolean isOutdated) {
+        lastResponseStalled = false;
+        slowResponses = 0;
+        if (!isOutdated) {
+            knownVersion = OptionalLong.of(version);
+            superseded.forEach(later -> later.requireVersion(version));
+            if (outstanding != null) {
+                outstanding.requireVersion(version);
+            }
         }
-        listener.onEndpointList(list);
-        if (!continuesWatch) {
-            listener.onPollCompleted();
+        if (!answered.timing().isWithoutWait()) {
+            start();
         }
     }
 
@@ -219,41 +199,93 @@
             return;
         }
         endOutstanding();
-        lastResponseTruncated = false;
         transport.abort();
+        reportFailure(cause);
+    }
+
+    private void reportFailure(Object cause) {
+        lastResponseStalled = false;
         logger.log("discovery failed", cause);
         listener.onPollFailed(cause instanceof ConnectException ? PollFailure.UNREACHABLE : PollFailure.REJECTED);
     }
 
     /**
-     * Called when a response is missing or incomplete at its timeout. A timed-out watch is restarted at once without
+     * Called when a response is missing, stalls or is slow. A watch that has timed out is restarted at once without
      * calling the listener, because the changes that it has missed soon count as notified.
      */
     private void onTimeout(OutstandingPoll timedOut) {
-        Poll poll = timedOut.poll;
-        boolean truncated = timedOut.hasResponseStarted();
-        String detail = truncated
-                ? "in the middle of a response (" + timedOut.describeProgress() + ")"
-                : "no response after " + Math.round(poll.timeoutMs()) + " ms";
-        if (timedOut != outstanding || !poll.isWatch() || (truncated && lastResponseTruncated)) {
-            onFailure(poll.number(), "no answer in time: " + detail);
+        String detail = timedOut.describeProgress();
+        boolean isSlow = timedOut.isSlow();
+        boolean continues = moveToBackground(timedOut, detail);
+        if (timedOut != outstanding) {
+            onSupersededTimeout(timedOut, continues, detail);
             return;
         }
-        endOutstanding();
-        transport.abort();
-        lastResponseTruncated = truncated;
+        if (continues) {
+            transport.useNewConnection(timedOut.poll());
+            superseded.addLast(timedOut);
+            outstanding = null;
+        } else {
+            pollLog.onFailure(timedOut.number(), detail);
+            endOutstanding();
+            transport.abort();
+        }
+        if (isSlow) {
+            onSlowResponse(continues, detail);
+        } else {
+            onMissingOrStalledResponse(timedOut, detail);
+        }
+    }
+
+    private void onSlowResponse(boolean continues, String detail) {
+        slowResponses++;
+        if (!continues) {
+            reportFailure("no answer in time: " + detail);
+            return;
+        }
+        lastResponseStalled = false;
+        logger.log("discovery response is slow", detail);
+        start();
+    }
+
+    private void onMissingOrStalledResponse(OutstandingPoll timedOut, String detail) {
+        boolean isSecondStall = timedOut.hasResponseStarted() && lastResponseStalled;
+        if (!timedOut.poll().isWatch() || isSecondStall) {
+            reportFailure("no answer in time: " + detail);
+            return;
+        }
+        lastResponseStalled = timedOut.hasResponseStarted();
         logger.log("discovery watch timed out", detail);
-        pollLog.onFailure(poll.number(), detail);
         start();
     }
 
+    private void onSupersededTimeout(OutstandingPoll timedOut, boolean continues, String detail) {
+        if (!continues) {
+            onFailure(timedOut.number(), "no answer in time: " + detail);
+        } else if (startDeferred) {
+            start();
+        }
+    }
+
+    /** Moves a poll whose response has begun to the background, if there is room; returns whether it continues. */
+    private boolean moveToBackground(OutstandingPoll timedOut, String detail) {
+        boolean isRoom = superseded.contains(timedOut) || superseded.size() < MAX_SUPERSEDED_POLLS;
+        boolean isSlotTaken = superseded.stream().anyMatch(OutstandingPoll::isInBackground);
+        if (!timedOut.hasResponseStarted() || !isRoom || isSlotTaken) {
+            return false;
+        }
+        timedOut.moveToBackground();
+        pollLog.onMovedToBackground(timedOut.number(), detail);
+        return true;
+    }
+
     /** Returns the outstanding poll with this number, or null if it has finished. */
     private OutstandingPoll findOutstanding(long number) {
-        if (outstanding != null && outstanding.poll.number() == number) {
+        if (outstanding != null && outstanding.number() == number) {
             return outstanding;
         }
         for (OutstandingPoll each : superseded) {
-            if (each.poll.number() == number) {
+            if (each.number() == number) {
                 return each;
             }
         }
@@ -262,17 +294,18 @@
 
     private boolean isResponseDueFromPreviousAddress() {
         return superseded.stream()
-                .anyMatch(each -> !each.poll.isWatch() || each.poll.timing().isWithoutWait());
+                .filter(each -> each.addressNumber() != addressNumber && !each.isInBackground())
+                .anyMatch(each -> !each.poll().isWatch() || each.poll().timing().isWithoutWait());
     }
 
     private void endOutstanding() {
-        outstanding.timeoutTimer.cancel();
+        outstanding.end();
         outstanding = null;
     }
 
     private void endSuperseded(OutstandingPoll ended) {
-        ended.timeoutTimer.cancel();
+        ended.end();
         superseded.remove(ended);
-        transport.endSuperseded(ended.poll.number());
+        transport.endSuperseded(ended.number());
     }
 }
--- a/sidecar/src/main/java/martenlatch/discovery/PollLog.java
+++ b/sidecar/src/main/java/martenlatch/discovery/PollLog.java
@@ -19,6 +19,9 @@
     /** The maximum number of endpoints of each status whose ids are logged for one list. */
     private static final int MAX_NAMED_ENDPOINTS = 12;
 
+    /** The duration from which on the log states how long a response took. */
+    private static final double SLOW_RESPONSE_MS = 500;
+
     private final Scheduler scheduler;
     private final RateLimitedLogger logger;
     private final TokenBucket lines = new TokenBucket(LINES_PER_MS, BURST_LINES);
@@ -46,8 +49,18 @@
         log("discovery poll " + poll + ": response started");
     }
 
-    void onList(long poll, EndpointList list) {
-        log("discovery poll " + poll + ": version " + list.version() + (list.full() ? ", whole list" : ", changes")
+    /** Logs a poll that has timed out and continues in the background. */
+    void onMovedToBackground(long poll, String detail) {
+        log("discovery poll " + poll + " continues beside the next one: " + detail);
+    }
+
+    /** Logs a list, and how long its response took if that was long. */
+    void onList(OutstandingPoll poll, EndpointList list) {
+        double responseMs = poll.responseMs();
+        log("discovery poll " + poll.number() + ": version " + list.version()
+                + (list.full() ? ", whole list" : ", changes")
+                + (poll.isOutdated(list.version()) ? ", ignored because a later one has arrived" : "")
+                + (responseMs < SLOW_RESPONSE_MS ? "" : ", in " + Math.round(responseMs) + " ms")
                 + describe(list, EndpointStatus.READY)
                 + describe(list, EndpointStatus.DRAINING)
                 + describe(list, EndpointStatus.GONE));
--- a/sidecar/src/main/java/martenlatch/discovery/PollTiming.java
+++ b/sidecar/src/main/java/martenlatch/discovery/PollTiming.java
@@ -7,13 +7,15 @@
  * The timing of a poll: how long discovery may hold the response, and the timeouts of the response.
  *
  * @param waitMs how long discovery may hold the response back until there is a newer version
- * @param responseTimeoutMs the time after {@code waitMs} by which the response must be complete; also the time from the
- *     first byte of a response to its last
- * @param fullListTimeoutMs the timeout of a poll for the whole list
+ * @param responseTimeoutMs the time after {@code waitMs} by which the response must have begun
+ * @param fullListTimeoutMs the time by which the response to a poll for the whole list must have begun
+ * @param stallTimeoutMs the longest time without bytes of a response that has begun
+ * @param maxResponseMs the time that a response may take while bytes of it arrive, before another poll is sent
  */
-public record PollTiming(long waitMs, double responseTimeoutMs, double fullListTimeoutMs) {
+public record PollTiming(
+        long waitMs, double responseTimeoutMs, double fullListTimeoutMs, double stallTimeoutMs, double maxResponseMs) {
 
-    /** The timeout of a poll for the whole list; an overloaded discovery rejects polls that have waited for 2 s. */
+    /** The timeout of a poll for the whole list. An overloaded discovery rejects polls that have waited for 2 s. */
     public static final int FULL_LIST_TIMEOUT_MS = 3_000;
 
     /** The timeout for establishing a connection to discovery. */
@@ -38,6 +40,13 @@
      * wait: one half of that is for detecting the broken watch, the other half for the next poll and its response.
      */
     static final int RESPONSE_TIMEOUT_MS = 1_000;
+
+    /**
+     * The time after which a response of which bytes keep arriving is slow. A change counts as notified 6 s after
+     * discovery has it; 2 s of that are for another poll and its response, in case the slow one never ends.
+     */
+    static final int MAX_RESPONSE_MS = 4_000;
+
     /**
      * The wait of a poll of the local agent. The agent responds at once and polls of it are cheap. Its changes count as
      * notified, so after an outage its list has to arrive well within the grace period of a drain.
@@ -53,11 +62,17 @@
      */
     public static PollTiming next(BalancerSettings settings, SplittableRandom random) {
         if (!settings.pollsEndpointList()) {
-            return new PollTiming(AGENT_WAIT_MS, AGENT_RESPONSE_TIMEOUT_MS, AGENT_WAIT_MS);
+            return new PollTiming(
+                    AGENT_WAIT_MS,
+                    AGENT_RESPONSE_TIMEOUT_MS,
+                    AGENT_WAIT_MS,
+                    AGENT_RESPONSE_TIMEOUT_MS,
+                    AGENT_RESPONSE_TIMEOUT_MS);
         }
         double waitMs = settings.rules().pollIntervalMs() * (1 + random.nextDouble());
         long boundedMs = (long) Math.max(MIN_WAIT_MS, Math.min(MAX_WAIT_MS, waitMs));
-        return new PollTiming(boundedMs, RESPONSE_TIMEOUT_MS, FULL_LIST_TIMEOUT_MS);
+        return new PollTiming(
+                boundedMs, RESPONSE_TIMEOUT_MS, FULL_LIST_TIMEOUT_MS, RESPONSE_TIMEOUT_MS, MAX_RESPONSE_MS);
     }
 
     /** Returns whether discovery answers at once, whether or not there is a newer version. */
@@ -72,6 +87,8 @@
      */
     PollTiming withoutWait() {
         boolean isAgent = waitMs < MIN_WAIT_MS;
-        return isAgent ? this : new PollTiming(NO_WAIT_MS, NO_WAIT_TIMEOUT_MS, fullListTimeoutMs);
+        return isAgent
+                ? this
+                : new PollTiming(NO_WAIT_MS, NO_WAIT_TIMEOUT_MS, fullListTimeoutMs, stallTimeoutMs, maxResponseMs);
     }
 }
--- a/sidecar/src/test/java/martenlatch/sidecar/DiscoveryRaceTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/DiscoveryRaceTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests broken watches, polls that race with the close of a connection, and endpoint lists at startup. */
@@ -30,6 +31,14 @@
 
     private static final int DEADLINE_MS = 8000;
 
+    /** A change counts as notified this long after discovery has it. */
+    private static final int MAX_LIST_AGE_MS = 6000;
+
+    /** The grace of a drain in the settings of the fixture. */
+    private static final int DRAIN_GRACE_MS = 500;
+
+    private static final int PIECES = 10;
+
     private SidecarFixture fixture;
 
     @AfterEach
@@ -155,6 +164,7 @@
                 "HTTP/1.1 200 OK\r\nContent-Le",
                 "HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n",
                 "HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n{\"version\":2,",
+                "slow half",
                 "trickle"
             })
     void truncatedResponseTimesOutEarly(String truncated) throws Exception {
@@ -198,6 +208,51 @@
         }
     }
 
+    /**
+     * Guards against a response that is cut although its bytes keep arriving. Each poll was cut 1 s after the first
+     * bytes of its response, so a discovery that takes longer to write one was never heard out, and a draining endpoint
+     * was sent requests for as long as that lasted (review/3). A change is notified 6 s after discovery has it.
+     */
+    @ParameterizedTest
+    @CsvSource({"600, false", "1500, false", "1500, true", "3000, false", "5000, false", "5000, true"})
+    void responseInPiecesIsAppliedWithinMaxListAge(int spreadMs, boolean full) throws Exception {
+        try (FakeEndpoint other = FakeEndpoint.serving()) {
+            fixture = new SidecarFixture(FakeEndpoint.serving());
+            CompletableFuture<Long> changeNanos = new CompletableFuture<>();
+            CompletableFuture<Double> writtenInMs = new CompletableFuture<>();
+            fixture.discovery.script = (wire, request) -> {
+                if (request.startLine().contains("index=1&wait=1 ")) {
+                    FakeEndpoint.answer(wire, 200, "", SidecarFixture.list(1, false));
+                } else if (request.startLine().contains("index=1&")) {
+                    long beginNanos = System.nanoTime();
+                    changeNanos.complete(beginNanos);
+                    String list = drainOfFirst(full, other);
+                    sendInPieces(wire, list, list.length(), spreadMs);
+                    writtenInMs.complete(SidecarFixture.elapsedMs(beginNanos));
+                } else {
+                    wire.awaitClose();
+                }
+            };
+            fixture.start();
+            long startNanos = changeNanos.get(SidecarFixture.AWAIT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            SidecarFixture.await("the list is applied", () -> fixture.logged().contains("version 2, "));
+            double appliedAfterMs = SidecarFixture.elapsedMs(startNanos);
+            // A busy machine may delay the pieces; that delay is the test's own.
+            double delayMs = writtenInMs.get(SidecarFixture.AWAIT_TIMEOUT_MS, TimeUnit.MILLISECONDS) - spreadMs;
+            assertTrue(
+                    appliedAfterMs - delayMs < MAX_LIST_AGE_MS + DRAIN_GRACE_MS,
+                    "applied after " + appliedAfterMs + " ms, of which the pieces were delayed by " + delayMs + " ms");
+            assertEquals(200, fixture.sendRequest("order", DEADLINE_MS).status());
+            assertEquals(1, other.requests.size(), "the drain is applied");
+        }
+    }
+
+    /** Returns a list in which the first endpoint drains and another one is in service. */
+    private String drainOfFirst(boolean full, FakeEndpoint other) {
+        String drained = SidecarFixture.line(0, fixture.endpoints.get(0).address(), "terminating", 0);
+        return SidecarFixture.list(2, full, drained, SidecarFixture.line(1, other.address(), "in_service", 0));
+    }
+
     /** Guards against a list being ignored because of its version: the list received last is always applied. */
     @Test
     void listIsAppliedWhateverItsVersionAndFormatting() throws Exception {
@@ -453,7 +508,23 @@
         }
     }
 
+    /** Sends a response in pieces of equal size, the first one at once and the last one after {@code spreadMs}. */
+    private static void sendInPieces(RawHttpClient wire, String body, int contentLength, int spreadMs)
+            throws Exception {
+        String response = "HTTP/1.1 200 OK\r\nContent-Length: " + contentLength + "\r\n\r\n" + body;
+        for (int i = 0; i < PIECES; i++) {
+            wire.send(response.substring(response.length() * i / PIECES, response.length() * (i + 1) / PIECES));
+            if (i < PIECES - 1) {
+                Thread.sleep(spreadMs / (PIECES - 1));
+            }
+        }
+    }
+
     private static void sendTruncated(RawHttpClient wire, String truncated) throws Exception {
+        if (truncated.equals("slow half")) {
+            sendInPieces(wire, "{\"version\":2,", 300, 1500);
+            wire.awaitClose();
+        }
         if (!truncated.equals("trickle")) {
             wire.send(truncated).awaitClose();
         }
