Hear out a poll that waits in discovery's queue for more than 3 s

A poll that discovery answers at once, and one for the whole list, was ended 3 s after it was sent and sent again with the same time, so that it lost its turn in the queue each time.

Change: after 3 s such a poll goes on in the background while another one is sent as before, as a silent connection and a queue look alike. It gives way to a poll whose response has begun, and ends 60 s after it was sent. A watch that is silent when its wait is over is still aborted.

Before: pollInTheQueueOfDiscoveryIsHeardOut (sockets) and pollWaitingInTheQueueOfDiscoveryIsHeardOut (three cases) failed; now they pass.

--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
@@ -267,11 +267,23 @@
         }
     }
 
-    /** Moves a poll whose response has begun to the background, if there is room; returns whether it continues. */
+    /**
+     * Moves a poll to the background, if there is room and it may still be answered; returns whether it continues. One
+     * that discovery has not begun to answer gives way to one that it has.
+     */
     private boolean moveToBackground(OutstandingPoll timedOut, String detail) {
+        if (timedOut.isInBackground() || !timedOut.mayStillBeAnswered()) {
+            return false;
+        }
+        if (timedOut.hasResponseStarted()) {
+            superseded.stream()
+                    .filter(each -> each.isInBackground() && !each.hasResponseStarted())
+                    .findFirst()
+                    .ifPresent(this::endSuperseded);
+        }
         boolean isRoom = superseded.contains(timedOut) || superseded.size() < MAX_SUPERSEDED_POLLS;
         boolean isSlotTaken = superseded.stream().anyMatch(OutstandingPoll::isInBackground);
-        if (!timedOut.hasResponseStarted() || !isRoom || isSlotTaken) {
+        if (!isRoom || isSlotTaken) {
             return false;
         }
         timedOut.moveToBackground();
--- a/sidecar/src/main/java/martenlatch/discovery/OutstandingPoll.java
+++ b/sidecar/src/main/java/martenlatch/discovery/OutstandingPoll.java
@@ -14,9 +14,12 @@
  */
 final class OutstandingPoll {
 
-    /** The longest time without bytes of a response in the background. */
+    /** The longest time without bytes of a response that has begun, in the background. */
     private static final double BACKGROUND_STALL_TIMEOUT_MS = 6_000;
 
+    /** The longest time from sending a poll until discovery begins to answer it. */
+    private static final double MAX_QUEUE_TIME_MS = 60_000;
+
     /** The longest time that a poll continues in the background. */
     private static final double MAX_BACKGROUND_MS = 60_000;
 
@@ -102,10 +105,20 @@
         }
     }
 
+    /**
+     * Returns whether a poll that has timed out may still be answered: its response has begun, or the poll may wait in
+     * the queue of an overloaded discovery, where a poll that is sent anew has to wait again. A watch that is silent
+     * when its wait is over is broken.
+     */
+    boolean mayStillBeAnswered() {
+        return hasResponseStarted() || !isHeldByDiscovery();
+    }
+
     /** Called when the poll continues in the background. */
     void moveToBackground() {
         backgroundSinceMs = scheduler.now();
-        timeOutAt(backgroundSinceMs + BACKGROUND_STALL_TIMEOUT_MS);
+        timeOutAt(
+                hasResponseStarted() ? backgroundSinceMs + BACKGROUND_STALL_TIMEOUT_MS : sentAtMs + MAX_QUEUE_TIME_MS);
     }
 
     /** Called when a list of this version has arrived from the same address during this poll. */
@@ -147,12 +160,16 @@
         if (isInBackground()) {
             return backgroundSinceMs + MAX_BACKGROUND_MS;
         }
-        // Discovery may hold back the response of a watch; other responses are due from the beginning.
-        return poll.isWatch() && !poll.timing().isWithoutWait()
+        return isHeldByDiscovery()
                 ? firstBytesAtMs + maxResponseMs
                 : sentAtMs + Math.max(poll.timeoutMs(), maxResponseMs);
     }
 
+    /** Returns whether discovery may hold the response back; otherwise it is due from the beginning. */
+    private boolean isHeldByDiscovery() {
+        return poll.isWatch() && !poll.timing().isWithoutWait();
+    }
+
     private void timeOutAt(double atMs) {
         timesOutAtMs = atMs;
         if (atMs < timerDueAtMs) {
--- a/sidecar/src/test/java/martenlatch/discovery/EndpointListWatcherTest.java
+++ b/sidecar/src/test/java/martenlatch/discovery/EndpointListWatcherTest.java
@@ -426,6 +426,32 @@
         assertEquals("/registry/instances?index=9&wait=20000", transport.outstanding.path());
     }
 
+    /**
+     * Guards against a poll that is ended while it waits in the queue of an overloaded discovery, and queues again: a
+     * discovery whose calls wait for more than 3 s was never heard out (review/stand/StartAtSlowDiscovery).
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {3200, 8000, 30_000})
+    void pollWaitingInTheQueueOfDiscoveryIsHeardOut(int answeredAfterMs) {
+        watcher.start();
+        clock.advance(PollTiming.FULL_LIST_TIMEOUT_MS + 1);
+        assertEquals(List.of(0, 2), List.of(transport.failures, transport.polls.size()));
+        clock.advance(answeredAfterMs - clock.now());
+        answer(1, 9);
+        assertEquals(List.of(1, 0), List.of(transport.lists, transport.completed));
+        answer(transport.outstanding.number(), 9);
+        assertEquals(List.of(2, 1), List.of(transport.lists, transport.completed));
+    }
+
+    /** A poll that waits in the queue gives way to one whose response has begun. */
+    @Test
+    void silentPollInTheBackgroundGivesWayToASlowResponse() {
+        watcher.start();
+        clock.advance(PollTiming.FULL_LIST_TIMEOUT_MS + 1);
+        deliver(2, PollTiming.MAX_RESPONSE_MS);
+        assertEquals(Set.of(2L), transport.superseded.keySet());
+    }
+
     /** Guards against a connection that is kept for ever because its response has stopped. */
     @Test
     void pollInTheBackgroundEndsWhenItsResponseStops() {
--- a/sidecar/src/test/java/martenlatch/sidecar/DiscoveryRaceTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/DiscoveryRaceTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import martenlatch.discovery.EndpointListGate;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -427,6 +428,27 @@
         }
     }
 
+    /**
+     * Guards against a poll that is ended while it waits in the queue of an overloaded discovery, and queues again.
+     * Each was ended after 3 s, so a start at a discovery whose calls wait for 3.2 s served from the list of its
+     * configuration after 7 s, and from then on (review/stand/StartAtSlowDiscovery).
+     */
+    @Test
+    void pollInTheQueueOfDiscoveryIsHeardOut() throws Exception {
+        try (FakeEndpoint other = FakeEndpoint.serving()) {
+            fixture = new SidecarFixture(FakeEndpoint.serving());
+            fixture.maxListWaitMs = EndpointListGate.DEFAULT_MAX_WAIT_MS;
+            fixture.discovery.script = (wire, request) -> {
+                Thread.sleep(3200);
+                FakeEndpoint.answer(wire, 200, "", drainOfFirst(false, other));
+            };
+            fixture.start();
+            assertEquals(200, fixture.sendRequest("order", DEADLINE_MS).status());
+            assertEquals(1, other.requests.size(), "the endpoint of the cached list has left");
+            assertEquals(0, fixture.endpoints.get(0).requests.size());
+        }
+    }
+
     /**
      * Guards against a start that waits although the list is current. The first poll is sent without a wait, so a
      * response without changes arrives at once; the watch is started after it.
