--- a/sidecar/src/test/java/martenlatch/sidecar/DiscoveryRaceTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/DiscoveryRaceTest.java
@@ -248,6 +248,66 @@
         }
     }
 
+    /**
+     * Guards against an agent that is never heard out because it takes longer than 100 ms to write a response. Its
+     * changes count as notified at once, so the first response is waited for, beside polls that are sent anew.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {400, 1500})
+    void slowResponseOfAgentIsApplied(int spreadMs) throws Exception {
+        try (FakeEndpoint other = FakeEndpoint.serving()) {
+            fixture = new SidecarFixture(FakeEndpoint.serving());
+            fixture.membership = "pushed";
+            CountDownLatch firstSlowResponseWritten = new CountDownLatch(1);
+            AtomicInteger polls = new AtomicInteger();
+            fixture.discovery.script = (wire, request) -> {
+                if (polls.incrementAndGet() == 1) {
+                    FakeEndpoint.answer(wire, 200, "", SidecarFixture.list(1, false));
+                } else if (request.startLine().contains("index=1&")) {
+                    String list = drainOfFirst(false, other);
+                    sendInPieces(wire, list, list.length(), spreadMs);
+                    firstSlowResponseWritten.countDown();
+                } else {
+                    wire.awaitClose();
+                }
+            };
+            fixture.start();
+            SidecarFixture.await(firstSlowResponseWritten);
+            SidecarFixture.await("the list is applied", () -> fixture.logged().contains("version 2, "));
+            assertEquals(200, fixture.sendRequest("order", DEADLINE_MS).status());
+            assertEquals(1, other.requests.size(), "the drain is applied");
+            assertTrue(fixture.logged().contains("discovery poll 2: version 2"), fixture.logged());
+        }
+    }
+
+    /** Guards against a response that is cut at the previous address after a move, although its bytes keep arriving. */
+    @Test
+    void responseInPiecesIsAppliedAfterMove() throws Exception {
+        try (FakeEndpoint other = FakeEndpoint.serving();
+                FakeEndpoint newDiscovery = new FakeEndpoint((wire, request) -> wire.awaitClose())) {
+            fixture = new SidecarFixture(FakeEndpoint.serving());
+            CountDownLatch responseBegun = new CountDownLatch(1);
+            fixture.discovery.script = (wire, request) -> {
+                if (request.startLine().contains("index=1&wait=1 ")) {
+                    FakeEndpoint.answer(wire, 200, "", SidecarFixture.list(1, false));
+                } else {
+                    responseBegun.countDown();
+                    String list = drainOfFirst(false, other);
+                    sendInPieces(wire, list, list.length(), 3000);
+                    wire.awaitClose();
+                }
+            };
+            fixture.start();
+            SidecarFixture.await(responseBegun);
+            Files.writeString(
+                    fixture.configFile, fixture.config().replace(fixture.discovery.address(), newDiscovery.address()));
+            fixture.sidecar.reload();
+            SidecarFixture.await("the list is applied", () -> fixture.logged().contains("version 2, "));
+            assertEquals(200, fixture.sendRequest("order", DEADLINE_MS).status());
+            assertEquals(1, other.requests.size(), "the drain is applied");
+        }
+    }
+
     /** Returns a list in which the first endpoint drains and another one is in service. */
     private String drainOfFirst(boolean full, FakeEndpoint other) {
         String drained = SidecarFixture.line(0, fixture.endpoints.get(0).address(), "terminating", 0);
