Count the age of the first list in the delay before the first watch

What callers could see: a process starts at a discovery that writes slowly. Its first list is as old as its response took; then it waited 1.5 to 3 s before it opened the watch, whose response took as long again. A change just after discovery had begun to write the first list was known after more than 6 s.

Cause: delayAfterFirstList took the list for as old as its arrival. Change: what the response took, and the same for the next one (2 s at least), is subtracted from the 6 s that the delay may use. A response that is written at once changes no delay: RecordedDecisionsTest passes unchanged.

EndpointListPollingTest, LoadBalancerTest and EndpointListWatcherTest pass.

--- a/fleet/src/test/java/martenlatch/fleet/sim/EndpointListAgeSimTest.java
+++ b/fleet/src/test/java/martenlatch/fleet/sim/EndpointListAgeSimTest.java
@@ -236,6 +236,22 @@
         assertEquals(List.of(), attemptsAfterSlowNotification(responseMs, 0));
     }
 
+    /**
+     * Guards against a watch that is opened too late after the first list of a process: the list is as old as its
+     * response took, which the delay of up to 3 s before the watch did not take into account.
+     */
+    @Test
+    void changeJustAfterASlowFirstListIsKnownInTime() {
+        List<String> found = new ArrayList<>();
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            String text = FLEET.formatted(seed, 40)
+                    + fault(1, STARTED_AT_S - 1, "kill", who("sidecars")).text()
+                    + fault(STARTED_AT_S + 1.5, 0, "drain", who("endpoint 1")).text();
+            found.addAll(attemptsAfterNotification("start " + seed, scenario(slow(text, 2400))));
+        }
+        assertEquals(List.of(), found);
+    }
+
     private static List<String> attemptsAfterSlowNotification(int responseMs, int faults) {
         List<String> found = new ArrayList<>();
         for (int seed = 1; seed <= SEEDS; seed++) {
--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListGate.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListGate.java
@@ -78,8 +78,8 @@
             }
 
             @Override
-            public void onPollCompleted() {
-                next.onPollCompleted();
+            public void onPollCompleted(double listAgeMs) {
+                next.onPollCompleted(listAgeMs);
             }
 
             @Override
--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
@@ -153,7 +153,7 @@
         }
         if (outstanding == null && !isResponseDueFromPreviousAddress()) {
             startDeferred = false;
-            listener.onPollCompleted();
+            listener.onPollCompleted(answered.responseMs());
         }
     }
 
--- a/sidecar/src/main/java/martenlatch/policy/EndpointListPolling.java
+++ b/sidecar/src/main/java/martenlatch/policy/EndpointListPolling.java
@@ -59,10 +59,13 @@
     /**
      * Called when a list arrives and no watch is open, as after the first poll of a process. Returns the delay of the
      * poll that opens a watch. It is long enough for a fleet that starts together to complete its first polls, which
-     * would otherwise queue behind watches that are not urgent while the list is recent.
+     * would otherwise queue behind watches that are not urgent while the list is recent. If discovery writes slowly,
+     * the list is as old as its response took, and the next response may take as long.
      */
-    double delayAfterFirstList(double nowMs, BalancerSettings settings) {
-        double withinMs = Math.min(MAX_DELAY_MS, settings.rules().pollIntervalMs() / 2);
+    double delayAfterFirstList(double nowMs, double listAgeMs, BalancerSettings settings) {
+        double remainingMs = Math.max(0, MAX_LIST_AGE_MS - listAgeMs - Math.max(POLL_DURATION_MS, listAgeMs));
+        double withinMs =
+                Math.min(remainingMs, Math.min(MAX_DELAY_MS, settings.rules().pollIntervalMs() / 2));
         double delayMs = withinMs * (1 + random.nextDouble()) / 2;
         dueAtMs = Math.min(dueAtMs, nowMs + spreadOverFleet(settings, delayMs));
         return Math.max(0, dueAtMs - nowMs);
--- a/sidecar/src/main/java/martenlatch/policy/LoadBalancer.java
+++ b/sidecar/src/main/java/martenlatch/policy/LoadBalancer.java
@@ -244,8 +244,8 @@
     }
 
     @Override
-    public void onPollCompleted(double nowMs) {
-        actions.scheduleTimer(polling.delayAfterFirstList(nowMs, state.settings), POLL_TIMER);
+    public void onPollCompleted(double nowMs, double listAgeMs) {
+        actions.scheduleTimer(polling.delayAfterFirstList(nowMs, listAgeMs, state.settings), POLL_TIMER);
     }
 
     @Override
--- a/sidecar/src/main/java/martenlatch/policy/api/BalancerEvents.java
+++ b/sidecar/src/main/java/martenlatch/policy/api/BalancerEvents.java
@@ -15,8 +15,12 @@
     /** Called when the address of discovery changes: the previous watch is closed, the new address not polled yet. */
     void onDiscoveryMoved(double nowMs);
 
-    /** Called when a list has arrived and no watch is open, so that a poll must be scheduled to open one. */
-    void onPollCompleted(double nowMs);
+    /**
+     * Called when a list has arrived and no watch is open, so that a poll must be scheduled to open one.
+     *
+     * @param listAgeMs the time since discovery began to write the list, in milliseconds
+     */
+    void onPollCompleted(double nowMs, double listAgeMs);
 
     /**
      * Called when operators have changed the set of disabled endpoints. Each endpoint in the set counts as draining,
--- a/sidecar/src/main/java/martenlatch/request/EndpointList.java
+++ b/sidecar/src/main/java/martenlatch/request/EndpointList.java
@@ -26,8 +26,12 @@
         /** Called when a list arrives. */
         void onEndpointList(EndpointList list);
 
-        /** Called when a poll is complete and no further one was sent; the listener has to start the next poll. */
-        void onPollCompleted();
+        /**
+         * Called when a poll is complete and no further one was sent; the listener has to start the next poll.
+         *
+         * @param listAgeMs the time since discovery began to write the list, in milliseconds
+         */
+        void onPollCompleted(double listAgeMs);
 
         /** Called when a poll fails; the listener has to start the next poll. */
         void onPollFailed(PollFailure failure);
--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -256,9 +256,9 @@
     }
 
     @Override
-    public void onPollCompleted() {
+    public void onPollCompleted(double listAgeMs) {
         if (settings.pollsEndpointList()) {
-            events.enqueue(balancer::onPollCompleted);
+            events.enqueue(now -> balancer.onPollCompleted(now, listAgeMs));
         } else {
             pollEndpointList.run();
         }
--- a/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
@@ -173,8 +173,8 @@
         }
 
         @Override
-        public void onPollCompleted() {
-            requestTracker.onPollCompleted();
+        public void onPollCompleted(double listAgeMs) {
+            requestTracker.onPollCompleted(listAgeMs);
         }
 
         @Override
--- a/sidecar/src/test/java/martenlatch/discovery/EndpointListWatcherTest.java
+++ b/sidecar/src/test/java/martenlatch/discovery/EndpointListWatcherTest.java
@@ -142,7 +142,7 @@
         }
 
         @Override
-        public void onPollCompleted() {
+        public void onPollCompleted(double listAgeMs) {
             assertTrue(outstanding == null, "no poll is outstanding");
             completed++;
         }
--- a/sidecar/src/test/java/martenlatch/policy/EndpointListPollingTest.java
+++ b/sidecar/src/test/java/martenlatch/policy/EndpointListPollingTest.java
@@ -110,6 +110,24 @@
         }
     }
 
+    /**
+     * The first list of a process is as old as its response took, and the response to the next poll may take as long.
+     * Both and the delay between them share the 6 s, or there is no delay.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, 3000", "1500, 2500", "2500, 1000", "3000, 0", "5000, 0"})
+    void delayAfterFirstListIsThePartOfTheBudgetThatResponsesLeave(double listAgeMs, double maxDelayMs) {
+        List<Double> delays = new ArrayList<>();
+        for (int seed = 0; seed < SEEDS; seed++) {
+            EndpointListPolling polling = new EndpointListPolling(new SplittableRandom(seed));
+            BalancerSettings settings = settings(100, 10_000);
+            assertTrue(polling.takeDuePoll(polling.delayAtStart(settings)));
+            polling.onList();
+            delays.add(polling.delayAfterFirstList(10_000, listAgeMs, settings));
+        }
+        assertTrue(longestMs(delays) >= 0.9 * maxDelayMs && longestMs(delays) <= maxDelayMs, "" + longestMs(delays));
+    }
+
     /** A watch may have been idle for long when it ends, so the next poll must follow soon and within the interval. */
     @ParameterizedTest
     @CsvSource({"1000, 500", "4000, 2000", "10000, 3000"})
