Wait for a response that is arriving before a start serves from its old list

What callers could see: a process that starts from an old list at a discovery that writes slowly serves from that list 7 s after its start (beside an agent 2 s) although the response with the current one is arriving, and sends requests to endpoints that drain until it is complete.

Cause: EndpointListGate bounds the wait for a whole list by times that are meant for a discovery that is down or silent, the same mistake as in the watch.

Measured: startWaitsForAResponseThatIsArriving failed before in both cases (lists polled and pushed) and passes now; startupWaitIsBoundedIfTheResponseNeverEnds guards the bound. The other tests of starts in DiscoveryRaceTest pass.

--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListGate.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListGate.java
@@ -12,7 +12,10 @@
  * <p>The wait is bounded so that an outage of discovery does not keep sidecars from serving. If lists are polled, the
  * wait also ends with the first poll that cannot connect, as no change counts as notified while discovery is
  * unreachable. If lists are pushed, a local agent that refuses connections has not started yet, and its changes count
- * as notified already, so the wait goes on. This class does no I/O and is called on the event loop.
+ * as notified already, so the wait goes on.
+ *
+ * <p>While bytes of a response arrive, the list is likely to be complete soon, so the wait goes on for a bounded time.
+ * This class does no I/O and is called on the event loop.
  */
 public final class EndpointListGate {
 
@@ -41,8 +44,20 @@
     /** The local agent responds at once; if it is silent for this long, it has lost its connection to discovery. */
     private static final double MAX_AGENT_SILENCE_MS = 2000;
 
+    /** The time by which the maximum wait is exceeded at most while bytes of a response arrive. */
+    private static final double MAX_WAIT_FOR_ARRIVING_RESPONSE_MS = 2_000;
+
+    /** A response is no longer arriving if there were no bytes for this long. */
+    private static final double STALL_TIMEOUT_MS = 1_000;
+
+    /** The interval at which the end of a response is checked once the wait would be over. */
+    private static final double CHECK_INTERVAL_MS = 50;
+
+    private final Scheduler scheduler;
     private final Listener listener;
     private final boolean pollsEndpointList;
+    private final double latestOpenAtMs;
+    private double lastBytesAtMs = Double.NEGATIVE_INFINITY;
     private boolean open;
     private boolean unreachable;
 
@@ -54,23 +69,45 @@
      * @param listener notified when the gate opens
      */
     public EndpointListGate(Scheduler scheduler, BalancerSettings settings, double maxWaitMs, Listener listener) {
+        this.scheduler = scheduler;
         this.listener = listener;
         pollsEndpointList = settings.pollsEndpointList();
-        scheduler.after(maxWaitMs, () -> open(Reason.TIMED_OUT));
+        latestOpenAtMs = scheduler.now() + maxWaitMs + MAX_WAIT_FOR_ARRIVING_RESPONSE_MS;
+        scheduler.after(maxWaitMs, this::onMaxWaitOver);
         if (!pollsEndpointList) {
             scheduler.after(MAX_AGENT_SILENCE_MS, this::onAgentSilent);
         }
     }
 
+    private void onMaxWaitOver() {
+        if (isResponseArriving() && scheduler.now() < latestOpenAtMs) {
+            scheduler.after(CHECK_INTERVAL_MS, this::onMaxWaitOver);
+        } else {
+            open(Reason.TIMED_OUT);
+        }
+    }
+
     private void onAgentSilent() {
-        if (!unreachable) {
+        if (isResponseArriving()) {
+            scheduler.after(CHECK_INTERVAL_MS, this::onAgentSilent);
+        } else if (!unreachable) {
             open(Reason.TIMED_OUT);
         }
     }
 
+    private boolean isResponseArriving() {
+        return !open && scheduler.now() - lastBytesAtMs < STALL_TIMEOUT_MS;
+    }
+
     /** Returns a listener that forwards every call to {@code next} and opens the gate after the first list. */
     public EndpointList.Listener wrap(EndpointList.Listener next) {
         return new EndpointList.Listener() {
+            @Override
+            public void onResponseBytes() {
+                lastBytesAtMs = scheduler.now();
+                next.onResponseBytes();
+            }
+
             @Override
             public void onEndpointList(EndpointList list) {
                 next.onEndpointList(list);
--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
@@ -129,6 +129,7 @@
             pollLog.onResponseStarted(poll);
         }
         responding.onBytes(count);
+        listener.onResponseBytes();
     }
 
     /**
--- a/sidecar/src/main/java/martenlatch/request/EndpointList.java
+++ b/sidecar/src/main/java/martenlatch/request/EndpointList.java
@@ -23,6 +23,9 @@
 
     /** Receives the results of polls for endpoint lists. */
     public interface Listener {
+        /** Called when bytes of a response arrive, before its list is complete. */
+        default void onResponseBytes() {}
+
         /** Called when a list arrives. */
         void onEndpointList(EndpointList list);
 
--- a/sidecar/src/test/java/martenlatch/sidecar/DiscoveryRaceTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/DiscoveryRaceTest.java
@@ -531,6 +531,39 @@
         assertFalse(fixture.logged().contains("from the configuration's endpoint list"), fixture.logged());
     }
 
+    /**
+     * Guards against a start that serves from an old list while the response with the current one is arriving. Until
+     * then the wait goes on, for a bounded time.
+     */
+    @ParameterizedTest
+    @CsvSource({"on_request, 1500", "pushed, 7000"})
+    void startWaitsForAResponseThatIsArriving(String membership, int maxWaitMs) throws Exception {
+        try (FakeEndpoint other = FakeEndpoint.serving()) {
+            fixture = new SidecarFixture(FakeEndpoint.serving());
+            fixture.membership = membership;
+            fixture.maxListWaitMs = maxWaitMs;
+            fixture.discovery.script = (wire, request) -> {
+                String list = drainOfFirst(true, other);
+                sendInPieces(wire, list, list.length(), 3000);
+            };
+            fixture.start();
+            assertEquals(200, fixture.sendRequest("order", DEADLINE_MS).status());
+            assertEquals(1, other.requests.size(), "the endpoint of the cached list has left");
+            assertFalse(fixture.logged().contains("from the configuration's endpoint list"), fixture.logged());
+        }
+    }
+
+    /** Guards against a sidecar that never serves because the response of discovery never ends. */
+    @Test
+    void startupWaitIsBoundedIfTheResponseNeverEnds() throws Exception {
+        fixture = new SidecarFixture(FakeEndpoint.serving());
+        fixture.maxListWaitMs = 1500;
+        fixture.discovery.script = (wire, request) -> sendTruncated(wire, "trickle");
+        fixture.start();
+        assertEquals(200, fixture.sendRequest("order", DEADLINE_MS).status());
+        assertTrue(fixture.logged().contains("endpoint list: TIMED_OUT"), fixture.logged());
+    }
+
     /** Guards against a sidecar that never serves because discovery rejects every poll. */
     @Test
     void startupWaitIsBoundedIfDiscoveryRejectsEveryPoll() throws Exception {
