--- a/sidecar/src/test/java/martenlatch/sidecar/DelayedAcceptEndpoint.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/DelayedAcceptEndpoint.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * An endpoint that establishes no connections until {@link #startAccepting}. Its accept queue is full until then, so
@@ -20,6 +21,9 @@
     private static final int CONNECT_TIMEOUT_MS = 300;
 
     final List<RawHttpClient.Message> requests = new CopyOnWriteArrayList<>();
+    /** The number of connections that were accepted and have ended. */
+    final AtomicInteger endedConnections = new AtomicInteger();
+
     private final ServerSocket listener;
     private final List<Socket> queuedSockets = new ArrayList<>();
 
@@ -79,6 +83,8 @@
                 requests.add(request);
                 FakeEndpoint.answer(connection, 200, "", "late");
             }
+        } finally {
+            endedConnections.incrementAndGet();
         }
     }
 
--- a/sidecar/src/test/java/martenlatch/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SidecarFixture.java
@@ -34,6 +34,9 @@
     int idleCloseMs = 15_000;
     int pollIntervalMs = 600_000;
     int sockets = 1024;
+    /** The memory limit in the configuration, in megabytes. */
+    int memoryMb = 192;
+
     int latencyObjectiveMs = 9000;
     int connectTimeoutMs = 2000;
     /** The deduplication window of the request class "move". */
@@ -112,7 +115,7 @@
         }
         return """
             {"name":"n0","listen":"%s",%s"discovery":"%s","seed":"8c1f30d27a5be964",
-            "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,
+            "limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"known":%s,
             "settings":{"azs":["a"],"models":["m"],"replicas-of-me":1,"slot-no":0,"tier":0,"zone":0,
             "membership-mode":"%s","classes":[
             {"name":"read","effect":"repeatable","group":"all","hard-limit-ms":9000,"slo-ms":%d,"worth":1},
@@ -130,6 +133,7 @@
                                         : "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"" + String.join("\",\"", peers)
                                                 + "\"],"),
                         discoveryAddress == null ? discovery.address() : discoveryAddress,
+                        memoryMb,
                         sockets,
                         list(1, true, entries.toArray(String[]::new)),
                         membership,
