Survive errors on the event loop; exit with status 70 if no thread serves any more

Callers saw a process that ended by itself with status 0. Cause: an Error that escapes an iteration (here an OutOfMemoryError in select) ends Netty's event loop thread; it is the JVM's last one, so the JVM shuts down, and its hook took that for SIGTERM: it drained on a loop that was gone and halted with 0 after 15 s (log of HostileClientsProcessTest: OutOfMemoryError in thread sidecar-1-1, draining, drain timed out).

SharedFolderWorker's schedule ended by an Error without a word as well.

--- a/sidecar/src/main/java/martenlatch/admin/SharedFolderWorker.java
+++ b/sidecar/src/main/java/martenlatch/admin/SharedFolderWorker.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -69,9 +70,19 @@
                 long reportedChange = lastWrittenChange;
                 owner.execute(() -> listener.onFolderRead(disabledIds, reportedChange));
             }
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException | RuntimeException | Error e) {
+            // An exception or error that left this method would end the schedule without a word.
             IOException failure = asIoException(e);
+            reportReadFailure(failure);
+        }
+    }
+
+    private void reportReadFailure(IOException failure) {
+        try {
             owner.execute(() -> listener.onReadFailed(failure));
+        } catch (RejectedExecutionException e) {
+            // The owner has stopped.
+            return;
         }
     }
 
@@ -99,7 +110,7 @@
         }
     }
 
-    private static IOException asIoException(Exception e) {
+    private static IOException asIoException(Throwable e) {
         return e instanceof IOException io ? io : new IOException(e.toString(), e);
     }
 
--- a/sidecar/src/main/java/martenlatch/cli/Main.java
+++ b/sidecar/src/main/java/martenlatch/cli/Main.java
@@ -27,6 +27,9 @@
     /** How long the handling of SIGTERM waits for a start-up in progress. */
     private static final int START_TIMEOUT_MS = 5000;
 
+    /** The exit status of a process that ends because it cannot serve any more; EX_SOFTWARE of sysexits.h. */
+    private static final int INTERNAL_ERROR_STATUS = 70;
+
     private static final String USAGE = "usage: java -jar martenlatch.jar serve [--peers]|benchlink";
     private static final String PEERS_OPTION = "--peers";
     private static final Set<String> HELP_OPTIONS = Set.of("--help", "-h", "help");
@@ -81,7 +84,8 @@
                     + "a changed configuration holds from the next start on");
         }
         // Clients may connect before start() returns, so SIGTERM waits for the start-up to finish and then drains.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(startedSidecar), "drain"));
+        StopSignals stopSignals = StopSignals.install();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(startedSidecar, stopSignals, errors), "drain"));
         try {
             if (configFile == null || configFile.isBlank()) {
                 throw new IllegalArgumentException("GW_CONFIG must name the configuration file but is " + configFile);
@@ -89,7 +93,8 @@
             Path folder = sharedFolder == null ? null : Path.of(sharedFolder);
             Sidecar sidecar = Sidecar.start(
                     new StartOptions(Path.of(configFile), folder, gossip, StartOptions.DEFAULT_MAX_LIST_WAIT_MS),
-                    errors);
+                    errors,
+                    error -> haltAfterFailure(errors, "the event loop makes no progress for errors: " + error));
             startedSidecar.complete(sidecar);
             return 0;
         } catch (IOException | RuntimeException e) {
@@ -102,6 +107,21 @@
         }
     }
 
+    /**
+     * Called when the JVM shuts down: drains the sidecar if a signal is the reason. Without one, the JVM ends because
+     * no thread is left that serves, which must not look like a planned stop.
+     */
+    private static void shutDown(
+            CompletableFuture<Sidecar> startedSidecar, StopSignals stopSignals, PrintStream errors) {
+        if (startedSidecar.isCompletedExceptionally()) {
+            return;
+        }
+        if (!stopSignals.received()) {
+            haltAfterFailure(errors, "the process ends without a signal, as no thread serves any more");
+        }
+        drain(startedSidecar);
+    }
+
     private static void drain(CompletableFuture<Sidecar> startedSidecar) {
         try {
             startedSidecar.get(START_TIMEOUT_MS, TimeUnit.MILLISECONDS).drain();
@@ -113,4 +133,13 @@
             return;
         }
     }
+
+    /** Ends the process at once, with one line that says why and a status that no signal and no planned stop has. */
+    private static void haltAfterFailure(PrintStream errors, String reason) {
+        try {
+            errors.println("martenlatch: exit with status " + INTERNAL_ERROR_STATUS + ": " + reason);
+        } finally {
+            Runtime.getRuntime().halt(INTERNAL_ERROR_STATUS);
+        }
+    }
 }
--- a/sidecar/src/main/java/martenlatch/frontend/http/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/Frontend.java
@@ -162,6 +162,18 @@
         }
     }
 
+    /**
+     * Closes the connections that owe no response, including those in the middle of a request, as memory has run out.
+     * A request that is not complete was never accepted, and what it holds belongs to the client that sends it.
+     */
+    public void closeUnusedConnections() {
+        for (ClientConnection connection : connections.all()) {
+            if (!connection.hasPendingResponses()) {
+                connection.close();
+            }
+        }
+    }
+
     /** Stops accepting connections and closes those without a request in flight. */
     public void close() {
         if (listener != null) {
--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -2,9 +2,6 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.BindException;
@@ -13,8 +10,10 @@
 import java.util.TimeZone;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import martenlatch.discovery.EndpointListGate;
+import martenlatch.net.ResilientEventLoopGroup;
 import martenlatch.site.PeerAddresses;
 import martenlatch.site.SiteConfig;
 
@@ -23,18 +22,39 @@
 
     private final StartOptions options;
     private final PrintStream log;
-    private final MultiThreadIoEventLoopGroup group;
+    private final ResilientEventLoopGroup group;
     private final EventLoop loop;
     private CurrentConfiguration configuration;
     private SidecarParts parts;
     private InetSocketAddress address;
     private InetSocketAddress adminAddress;
 
-    private Sidecar(StartOptions options, PrintStream log) {
+    private Sidecar(StartOptions options, PrintStream log, Consumer<Throwable> onFailure) {
         this.options = options;
         this.log = log;
-        group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("sidecar"), NioIoHandler.newFactory());
-        loop = (EventLoop) group.next();
+        group = new ResilientEventLoopGroup("sidecar", new EventLoopErrorListener(onFailure));
+        loop = group.next();
+    }
+
+    /** Logs errors that escape the event loop, and makes room where they are for lack of memory. */
+    private final class EventLoopErrorListener implements ResilientEventLoopGroup.ErrorListener {
+        private final Consumer<Throwable> onFailure;
+
+        EventLoopErrorListener(Consumer<Throwable> onFailure) {
+            this.onFailure = onFailure;
+        }
+
+        @Override
+        public void onError(Throwable error) {
+            if (parts != null) {
+                parts.onEventLoopError(error);
+            }
+        }
+
+        @Override
+        public void onFailure(Throwable error) {
+            onFailure.accept(error);
+        }
     }
 
     /**
@@ -44,6 +64,19 @@
      * @throws IllegalArgumentException if the configuration cannot be used; its message names field and value
      */
     public static Sidecar start(StartOptions options, PrintStream log) throws IOException {
+        return start(
+                options,
+                log,
+                error -> log.println("martenlatch: the event loop makes no progress for errors: " + error));
+    }
+
+    /**
+     * Starts a sidecar as above.
+     *
+     * @param onFailure called on the event loop when errors keep it from making progress, so that no request is served
+     */
+    public static Sidecar start(StartOptions options, PrintStream log, Consumer<Throwable> onFailure)
+            throws IOException {
         SiteConfig config = SiteConfig.read(options.configFile());
         // Netty's logger formats local times. The first line reads the time zone rules from a file, which fails when no
         // descriptor is left under load, and that error would terminate the event loop. So the rules are read now.
@@ -51,7 +84,7 @@
         log.println("martenlatch: " + System.currentTimeMillis() + " starting with version "
                 + config.cachedEndpointList().version() + " of the endpoint list, "
                 + config.cachedEndpointList().entries().size() + " endpoints, discovery at " + config.discovery());
-        Sidecar sidecar = new Sidecar(options, log);
+        Sidecar sidecar = new Sidecar(options, log, onFailure);
         try {
             sidecar.startParts(config);
             return sidecar;
--- a/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
@@ -129,6 +129,14 @@
         }
     }
 
+    /** Called when an error has escaped an iteration of the event loop, which goes on. */
+    void onEventLoopError(Throwable error) {
+        if (error instanceof OutOfMemoryError) {
+            frontend.closeUnusedConnections();
+        }
+        logger.logException("error on the event loop", error);
+    }
+
     /** Stops the work on other threads at once, and gossip by a task on the event loop. */
     void close() {
         adminOperations.close();
