Wait for a response that has begun; pass it on if it still arrives at the deadline

Cause: the time-out of an attempt ran until the whole response, or its first 64 KiB where no length is told, had been collected.

Change: a 200 whose head has arrived ends by its bytes alone. RequestTracker asks the transport when the time-out fires and waits until the request's deadline; a response whose last bytes came within 0.5 s is then passed on as it arrives, one that has stopped fails in time. The endpoint's latency is the time to the head, so that a slow body neither lowers the limit nor raises the tail latency.

--- a/sidecar/src/main/java/martenlatch/request/PendingAttempt.java
+++ b/sidecar/src/main/java/martenlatch/request/PendingAttempt.java
@@ -12,6 +12,10 @@
     Transport.Attempt transportAttempt;
     /** Null until the timeout of the attempt starts to run. */
     Scheduler.Timer timeoutTimer;
+    /** The time at which the timeout timer fires. */
+    double timeoutAtMs;
+    /** The time until the response began, if its body took longer than that counts for the endpoint; else NaN. */
+    double responseLatencyMs = Double.NaN;
 
     boolean ended;
     /** Whether it is known that the attempt was not and never will be executed. */
--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import martenlatch.policy.LoadBalancer;
 import martenlatch.policy.api.AttemptOutcome;
@@ -15,6 +16,7 @@
 import martenlatch.policy.api.OverloadReport;
 import martenlatch.policy.api.Request;
 import martenlatch.request.RequestObserver.Conclusion;
+import martenlatch.request.Transport.ResponseProgress;
 
 /**
  * Hosts the load balancer and keeps the table of pending requests and their attempts. It executes the balancer's
@@ -24,6 +26,8 @@
 
     /** The time after its deadline at which a request fails if the balancer has not concluded it. */
     private static final double DEADLINE_SLACK_MS = 5;
+    /** A response is still arriving if its last bytes came within this time. */
+    private static final double RESPONSE_PROGRESS_MS = 500;
     /** The delay before the local agent is polled again after a failed poll, used if lists are pushed. */
     private static final int PUSHED_LIST_RETRY_MS = 100;
 
@@ -161,7 +165,7 @@
         request.cancelDeadlineTimer();
         startDeadlineTimer(request);
         for (PendingAttempt attempt : request.attempts) {
-            if (!attempt.ended && attempt.startedAtMs + attempt.timeoutMs > latestMs) {
+            if (!attempt.ended && attempt.timeoutAtMs > latestMs) {
                 attempt.cancelTimer();
                 startTimeoutTimer(request, attempt, latestMs - scheduler.now());
             }
@@ -340,11 +344,50 @@
     }
 
     private void startTimeoutTimer(PendingRequest request, PendingAttempt attempt, double delayMs) {
-        attempt.timeoutTimer = scheduler.after(delayMs, () -> giveUp(request, attempt, AttemptOutcome.TIMED_OUT));
+        attempt.timeoutAtMs = scheduler.now() + delayMs;
+        attempt.timeoutTimer = scheduler.after(delayMs, () -> onTimeout(request, attempt));
+    }
+
+    /**
+     * Ends an attempt whose time is up, unless its response has begun. Such a response is waited for until the deadline
+     * of the request, because the endpoint has executed the request and the client still waits.
+     */
+    private void onTimeout(PendingRequest request, PendingAttempt attempt) {
+        Optional<ResponseProgress> response =
+                attempt.ended || request.concluded ? Optional.empty() : attempt.transportAttempt.responseProgress();
+        if (response.isEmpty()) {
+            giveUp(request, attempt, AttemptOutcome.TIMED_OUT);
+            return;
+        }
+        attempt.responseLatencyMs = response.get().startedAtMs() - attempt.startedAtMs;
+        double remainingMs = request.deadlineMs - scheduler.now();
+        if (remainingMs > 0) {
+            startTimeoutTimer(request, attempt, remainingMs);
+        } else {
+            endResponseAtDeadline(request, attempt, response.get());
+        }
+    }
+
+    /** Passes on a response that is arriving when its request's time is up; fails one that has stopped arriving. */
+    private void endResponseAtDeadline(PendingRequest request, PendingAttempt attempt, ResponseProgress response) {
+        double idleMs = scheduler.now() - response.lastBytesAtMs();
+        if (idleMs < RESPONSE_PROGRESS_MS) {
+            attempt.transportAttempt.streamResponse();
+        } else {
+            logger.log(
+                    "response stopped arriving",
+                    request.id() + " from " + attempt.endpointId + " for " + idleMs + " ms");
+            giveUp(request, attempt, AttemptOutcome.TIMED_OUT);
+        }
     }
 
     private void onResponse(
             PendingRequest request, PendingAttempt attempt, AttemptOutcome outcome, EndpointResponse response) {
+        if (response != null && response.remainingBody() != null) {
+            attempt.transportAttempt
+                    .responseProgress()
+                    .ifPresent(progress -> attempt.responseLatencyMs = progress.startedAtMs() - attempt.startedAtMs);
+        }
         if (response != null && !request.concluded) {
             deliver(request, outcome, response);
         } else if (response != null && response.remainingBody() != null) {
@@ -381,7 +424,7 @@
         attempt.neverExecuted = outcome.neverExecuted();
         attempt.cancelTimer();
         observer.onAttemptFinished(request.id(), attempt.number, outcome);
-        double durationMs = request.bodyIncomplete ? 0 : scheduler.now() - attempt.startedAtMs;
+        double durationMs = request.bodyIncomplete ? 0 : latencyMs(attempt);
         events.enqueue(request, now -> {
             request.attemptsInFlight--;
             balancer.onAttemptFinished(
@@ -397,6 +440,13 @@
         });
     }
 
+    /** Returns how long the endpoint took to answer; a body that arrives slowly is not held against it. */
+    private double latencyMs(PendingAttempt attempt) {
+        return Double.isNaN(attempt.responseLatencyMs)
+                ? scheduler.now() - attempt.startedAtMs
+                : Math.max(0, attempt.responseLatencyMs);
+    }
+
     private void conclude(PendingRequest request, Conclusion conclusion, double retryAfterMs) {
         request.concluded = true;
         request.cancelDeadlineTimer();
--- a/sidecar/src/main/java/martenlatch/request/Transport.java
+++ b/sidecar/src/main/java/martenlatch/request/Transport.java
@@ -1,5 +1,6 @@
 package martenlatch.request;
 
+import java.util.Optional;
 import martenlatch.policy.api.AttemptOutcome;
 
 /** Sends the attempts of one request on its own connections or through a calling proxy. Never retries by itself. */
@@ -12,8 +13,29 @@
 
         /** Ends the attempt if its last byte is not written yet; returns true if so, as it is then never executed. */
         boolean withdraw();
+
+        /** Returns how far a response that serves the request has arrived, unless it is complete. */
+        default Optional<ResponseProgress> responseProgress() {
+            return Optional.empty();
+        }
+
+        /**
+         * Ends the attempt with the response that has begun, whose remaining body follows while it arrives. Must be
+         * called only if there is a {@link #responseProgress}.
+         */
+        default void streamResponse() {
+            throw new IllegalStateException("no response has begun");
+        }
     }
 
+    /**
+     * How far a response has arrived that is not complete.
+     *
+     * @param startedAtMs the time at which its head was complete
+     * @param lastBytesAtMs the time at which its last bytes arrived
+     */
+    record ResponseProgress(double startedAtMs, double lastBytesAtMs) {}
+
     /** Notified of the end of an attempt: at most once, and never after {@link Attempt#giveUp}. */
     interface AttemptListener {
         /** Called when the attempt has ended; the response is null if none arrived. */
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointAttempt.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointAttempt.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
 import martenlatch.policy.api.AttemptOutcome;
 import martenlatch.request.EndpointResponse;
 import martenlatch.request.Scheduler;
@@ -125,6 +126,16 @@
         return true;
     }
 
+    @Override
+    public Optional<Transport.ResponseProgress> responseProgress() {
+        return connection == null || !written ? Optional.empty() : connection.responseProgress();
+    }
+
+    @Override
+    public void streamResponse() {
+        connection.streamResponse();
+    }
+
     /** Notifies the listener of the result, unless it was already notified or the attempt was given up. */
     void finish(AttemptOutcome outcome, EndpointResponse response) {
         Transport.AttemptListener notified = listener;
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointConnection.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointConnection.java
@@ -10,10 +10,12 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
+import java.util.Optional;
 import martenlatch.policy.api.AttemptOutcome;
 import martenlatch.request.EndpointResponse;
 import martenlatch.request.RateLimitedLogger;
 import martenlatch.request.Scheduler;
+import martenlatch.request.Transport;
 
 /** One connection to an endpoint. It carries one attempt at a time and is idle in between. */
 final class EndpointConnection implements ResponseDecoder.Listener, StreamedRequestBody.Sink {
@@ -206,6 +208,15 @@
 
     // ---- response ----
 
+    Optional<Transport.ResponseProgress> responseProgress() {
+        return decoder.responseProgress();
+    }
+
+    /** Passes on the response that has begun; its attempt ends before this method returns. */
+    void streamResponse() {
+        decoder.streamResponse();
+    }
+
     @Override
     public void onResponse(EndpointResponse response, boolean clean) {
         EndpointAttempt ended = attempt;
--- a/sidecar/src/main/java/martenlatch/upstream/ResponseDecoder.java
+++ b/sidecar/src/main/java/martenlatch/upstream/ResponseDecoder.java
@@ -15,9 +15,11 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.util.Optional;
 import martenlatch.request.EndpointResponse;
 import martenlatch.request.RemainingBody;
 import martenlatch.request.Scheduler;
+import martenlatch.request.Transport;
 
 /**
  * Decodes the one response that a connection to an endpoint waits for. A short response is reported only after all
@@ -71,6 +73,11 @@
     /** The bytes collected of its body, or null. */
     private ByteBuf body;
 
+    /** The time at which that head was complete. */
+    private double responseStartedMs;
+    /** The time at which bytes of a response last arrived. */
+    private double lastBytesMs;
+
     private int interimResponses;
     /** The complete short response that is reported at the end of the current read, or null. */
     private EndpointResponse completeResponse;
@@ -101,6 +108,19 @@
         responseExpected = true;
     }
 
+    /** Returns how far the current response has arrived, if it is a 200 that is not complete. */
+    public Optional<Transport.ResponseProgress> responseProgress() {
+        boolean responding = head != null && head.status().code() == HttpResponseStatus.OK.code();
+        return responding
+                ? Optional.of(new Transport.ResponseProgress(responseStartedMs, lastBytesMs))
+                : Optional.empty();
+    }
+
+    /** Reports the response that has begun and is being collected; the rest of its body is streamed. */
+    public void streamResponse() {
+        startStreaming();
+    }
+
     private boolean isComplete() {
         return completeResponse != null || streamComplete;
     }
@@ -113,6 +133,7 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object bytes) {
             if (responseExpected && !isComplete()) {
+                lastBytesMs = scheduler.now();
                 ctx.fireChannelRead(bytes);
                 return;
             }
@@ -162,6 +183,7 @@
         }
         releaseBody();
         head = response;
+        responseStartedMs = scheduler.now();
         body = Unpooled.buffer();
         boolean isLong = HttpUtil.getContentLength(response, 0L) > MAX_COLLECTED_BODY_BYTES;
         if (response.status().code() == HttpResponseStatus.OK.code() && isLong) {
