Remember ids that may have been executed, in a table that both processes of an upgrade share

An id of a class that must not run twice ran again when it came again after its client had left, after its answer, or at the other process of an upgrade; a keyed one after its window. Cause: the only question asked was whether the id is in flight in this process.

ExecutionHistory claims an id before its first attempt and releases it if no attempt was executed. What may have been executed is answered with 409: 429 and 503 would promise that it was not. A keyed id is forwarded again within its window where all endpoints drop repeats, and its attempts are bounded by the first one's window. Held for 60 s, 20 s once answered; the table has 131,072 slots of 8 bytes; without room a request of such a class is rejected with 503, none is forgotten early. With a TMPDIR the table is a mapped file there, replaced word by word (compare and set), with the monotonic clock that processes of a machine share.

AdminOperationsTest sent the same id to both processes of a sidecar; its fixture now has ids of its own for the second.

--- a/sidecar/src/main/java/martenlatch/admin/SharedFolder.java
+++ b/sidecar/src/main/java/martenlatch/admin/SharedFolder.java
@@ -47,7 +47,12 @@
 
     /** Opens the folder of a sidecar below {@code parent}, and creates it if it does not exist. */
     SharedFolder(Path parent, String sidecar) throws IOException {
-        folder = Files.createDirectories(parent.resolve("martenlatch-" + urlEncoded(sidecar)));
+        folder = Files.createDirectories(path(parent, sidecar));
+    }
+
+    /** Returns the path of the folder that the processes of a sidecar share. */
+    static Path path(Path parent, String sidecar) {
+        return parent.resolve("martenlatch-" + urlEncoded(sidecar));
     }
 
     private static String urlEncoded(String name) {
--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
@@ -27,6 +27,7 @@
 import martenlatch.frontend.http.RequestEvent.InvalidInput;
 import martenlatch.frontend.http.RequestEvent.StreamedRequest;
 import martenlatch.policy.api.Request;
+import martenlatch.request.RequestTracker.Acceptance;
 import martenlatch.upstream.OutgoingRequest;
 import martenlatch.upstream.StreamedRequestBody;
 
@@ -279,18 +280,30 @@
     }
 
     private void submit(QueuedRequest queued) {
-        Request request = queued.request();
-        if (context.requestTracker().isPending(request.id())) {
-            queued.response()
-                    .rejectInvalid(
-                            HttpResponseStatus.CONFLICT,
-                            RequestParser.REQUEST_ID_HEADER + " is that of a request in hand");
-            return;
-        }
-        queued.response().setRequestId(request.id());
+        PendingResponse response = queued.response();
+        response.setRequestId(queued.request().id());
         boolean incomplete = queued.message().streamedBody() != null;
-        context.requestTracker()
-                .accept(request, context.endpointPool().transportFor(queued.message()), queued.response(), incomplete);
+        Acceptance acceptance = context.requestTracker()
+                .acceptOnce(
+                        queued.request(), context.endpointPool().transportFor(queued.message()), response, incomplete);
+        if (acceptance != Acceptance.ACCEPTED) {
+            response.setRequestId(null);
+        }
+        switch (acceptance) {
+            case IN_FLIGHT ->
+                response.rejectInvalid(
+                        HttpResponseStatus.CONFLICT,
+                        RequestParser.REQUEST_ID_HEADER + " is that of a request in flight");
+            // Neither a rejection, which would promise that the request was not executed, nor a reason to close.
+            case MAY_HAVE_EXECUTED ->
+                response.respond(HttpResponses.ofText(
+                        HttpResponseStatus.CONFLICT,
+                        RequestParser.REQUEST_ID_HEADER + " is that of a request that may have been executed"));
+            case NO_ROOM -> response.onRejected(OVERFLOW_RETRY_AFTER_MS);
+            default -> {
+                return;
+            }
+        }
     }
 
     /** Returns the request to forward. Modifies and reuses its headers, which are not needed afterwards. */
--- a/sidecar/src/main/java/martenlatch/request/PendingRequest.java
+++ b/sidecar/src/main/java/martenlatch/request/PendingRequest.java
@@ -32,6 +32,12 @@
     boolean bodyIncomplete;
     /** Whether the request got its final answer or its client disconnected. */
     boolean concluded;
+    /** Whether the request was served. */
+    boolean served;
+    /** Whether the id of the request was claimed in the execution history for this request alone. */
+    boolean claimed;
+    /** The time at which an earlier request of this id may have been executed; NaN if there was none. */
+    double executedBeforeMs = Double.NaN;
     /** The number of attempts whose end was not reported to the load balancer yet. */
     int attemptsInFlight;
 
@@ -66,6 +72,9 @@
      */
     double notAfterMs() {
         if (requestClass.usesIdempotencyKey()) {
+            if (!Double.isNaN(executedBeforeMs)) {
+                return executedBeforeMs + requestClass.deduplicationWindowMs() * DEDUPLICATION_WINDOW_SHARE;
+            }
             for (PendingAttempt attempt : attempts) {
                 if (!attempt.neverExecuted) {
                     return attempt.startedAtMs + requestClass.deduplicationWindowMs() * DEDUPLICATION_WINDOW_SHARE;
@@ -75,6 +84,11 @@
         return Double.POSITIVE_INFINITY;
     }
 
+    /** Returns whether no attempt of the request was or will be executed. */
+    boolean isNeverExecuted() {
+        return attempts.stream().allMatch(attempt -> attempt.neverExecuted);
+    }
+
     /** Returns the time until the attempt times out; its full timeout while the body is incomplete. */
     double remainingMs(PendingAttempt attempt, double nowMs) {
         return bodyIncomplete
--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -15,6 +15,7 @@
 import martenlatch.policy.api.LoadReport;
 import martenlatch.policy.api.OverloadReport;
 import martenlatch.policy.api.Request;
+import martenlatch.policy.api.RequestClass;
 import martenlatch.request.RequestObserver.Conclusion;
 import martenlatch.request.Transport.ResponseProgress;
 
@@ -40,6 +41,9 @@
     private final RequestObserver observer;
     private final BalancerEvents balancer;
     private final BalancerEventQueue events;
+    /** The ids that may have been executed, or null if the caller of {@link #accept} knows them. */
+    private final ExecutionHistory executionHistory;
+
     private final Map<String, PendingRequest> pending = new HashMap<>();
     private BalancerSettings settings;
     private boolean knowsEndpoints;
@@ -61,6 +65,25 @@
             long seed,
             EndpointList cachedEndpointList,
             RequestObserver observer) {
+        this(scheduler, logger, connections, pollEndpointList, settings, seed, cachedEndpointList, observer, null);
+    }
+
+    /**
+     * Creates a tracker as above that does not accept an id again which may have been executed.
+     *
+     * @param executionHistory the ids that may have been executed, or null
+     */
+    public RequestTracker(
+            Scheduler scheduler,
+            RateLimitedLogger logger,
+            EndpointConnections connections,
+            Runnable pollEndpointList,
+            BalancerSettings settings,
+            long seed,
+            EndpointList cachedEndpointList,
+            RequestObserver observer,
+            ExecutionHistory executionHistory) {
+        this.executionHistory = executionHistory;
         this.scheduler = scheduler;
         this.logger = logger;
         this.connections = connections;
@@ -104,6 +127,49 @@
 
     // ---- Requests and clients ----
 
+    /** The result of {@link #acceptOnce}. */
+    public enum Acceptance {
+        /** The request is pending, or was answered at once. */
+        ACCEPTED,
+        /** A request with the same id is pending. */
+        IN_FLIGHT,
+        /** A request with the same id may have been executed and must not be executed again. */
+        MAY_HAVE_EXECUTED,
+        /** The request was not executed and cannot be accepted now, as no more ids can be remembered. */
+        NO_ROOM
+    }
+
+    /** Accepts a request as {@link #accept} does, unless it may have been executed before under the same id. */
+    public Acceptance acceptOnce(
+            Request request, Transport transport, ResponseListener listener, boolean bodyIncomplete) {
+        if (isPending(request.id())) {
+            return Acceptance.IN_FLIGHT;
+        }
+        RequestClass requestClass = settings.classes().get(request.classIndex());
+        ExecutionHistory.ClaimResult result = executionHistory == null
+                ? new ExecutionHistory.ClaimResult(ExecutionHistory.Claim.FIRST, 0)
+                : executionHistory.claim(request.id(), requestClass);
+        switch (result.claim()) {
+            case MAY_HAVE_EXECUTED -> {
+                logger.log("request id repeated", request.id() + " after " + result.ageMs() + " ms");
+                return Acceptance.MAY_HAVE_EXECUTED;
+            }
+            case NO_ROOM -> {
+                logger.log("no room for request ids", request.id());
+                return Acceptance.NO_ROOM;
+            }
+            default -> {
+                PendingRequest accepted = newPendingRequest(request, transport, listener, bodyIncomplete);
+                accepted.claimed = executionHistory != null && result.claim() == ExecutionHistory.Claim.FIRST;
+                if (result.claim() == ExecutionHistory.Claim.REPEAT) {
+                    accepted.executedBeforeMs = accepted.acceptedAtMs - result.ageMs();
+                }
+                begin(accepted);
+                return Acceptance.ACCEPTED;
+            }
+        }
+    }
+
     /** Accepts a complete request. */
     public void accept(Request request, Transport transport, ResponseListener listener) {
         accept(request, transport, listener, false);
@@ -115,11 +181,21 @@
      * by the time that passes until {@link #onRequestComplete}.
      */
     public void accept(Request request, Transport transport, ResponseListener listener, boolean bodyIncomplete) {
-        PendingRequest accepted = new PendingRequest(request, scheduler.now(), settings, transport, listener);
-        accepted.bodyIncomplete = bodyIncomplete;
+        begin(newPendingRequest(request, transport, listener, bodyIncomplete));
+    }
+
+    private PendingRequest newPendingRequest(
+            Request request, Transport transport, ResponseListener listener, boolean bodyIncomplete) {
+        PendingRequest created = new PendingRequest(request, scheduler.now(), settings, transport, listener);
+        created.bodyIncomplete = bodyIncomplete;
+        return created;
+    }
+
+    private void begin(PendingRequest accepted) {
+        Request request = accepted.request;
         pending.put(request.id(), accepted);
         observer.onRequest(request);
-        if (!bodyIncomplete) {
+        if (!accepted.bodyIncomplete) {
             startDeadlineTimer(accepted);
         }
         events.enqueue(accepted, now -> balancer.onRequest(now, request));
@@ -135,6 +211,9 @@
             return;
         }
         request.bodyIncomplete = false;
+        if (request.claimed) {
+            executionHistory.renew(requestId, request.requestClass);
+        }
         double now = scheduler.now();
         request.deadlineMs = Math.min(latestMs, request.deadlineMs + now - request.acceptedAtMs);
         if (!request.concluded) {
@@ -233,6 +312,15 @@
     private void removeIfFinished(PendingRequest request) {
         if (request.isFinished()) {
             pending.remove(request.id());
+            updateExecutionHistory(request);
+        }
+    }
+
+    private void updateExecutionHistory(PendingRequest request) {
+        if (request.claimed && request.isNeverExecuted()) {
+            executionHistory.release(request.id(), request.requestClass);
+        } else if (request.claimed && request.served) {
+            executionHistory.onAnswered(request.id(), request.requestClass);
         }
     }
 
@@ -413,6 +501,7 @@
             boolean mayBeExecuted = attempt.transportAttempt.giveUp();
             boolean keepsOutcome = mayBeExecuted || outcome == AttemptOutcome.CANCELED;
             finish(request, attempt, keepsOutcome ? outcome : AttemptOutcome.CONNECT_ERROR);
+            attempt.neverExecuted |= !mayBeExecuted;
         }
     }
 
@@ -449,6 +538,7 @@
 
     private void conclude(PendingRequest request, Conclusion conclusion, double retryAfterMs) {
         request.concluded = true;
+        request.served = conclusion == Conclusion.SERVED;
         request.cancelDeadlineTimer();
         observer.onConcluded(request.id(), conclusion, retryAfterMs);
     }
--- a/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
@@ -9,12 +9,14 @@
 import java.util.concurrent.CompletableFuture;
 import martenlatch.admin.AdminOperations;
 import martenlatch.admin.AdminServer;
+import martenlatch.admin.SharedIdTable;
 import martenlatch.discovery.DiscoveryClient;
 import martenlatch.discovery.EndpointListGate;
 import martenlatch.discovery.PollTiming;
 import martenlatch.frontend.http.Frontend;
 import martenlatch.net.EventLoopScheduler;
 import martenlatch.request.EndpointList;
+import martenlatch.request.ExecutionHistory;
 import martenlatch.request.PollFailure;
 import martenlatch.request.RateLimitedLogger;
 import martenlatch.request.RequestObserver;
@@ -84,7 +86,8 @@
                 config.settings(),
                 config.seed(),
                 config.cachedEndpointList(),
-                RequestObserver.NONE);
+                RequestObserver.NONE,
+                new ExecutionHistory(SharedIdTable.open(sharedFolder, config.name(), logger), SharedIdTable::clockMs));
         adminOperations = new AdminOperations(scheduler, logger, new OperatorControl());
         adminServer = new AdminServer(loop, adminOperations);
         discovery.setListener(
--- a/sidecar/src/test/java/martenlatch/sidecar/AdminOperationsTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/AdminOperationsTest.java
@@ -222,7 +222,9 @@
     void disabledEndpointsApplyToAllProcessesOfTheSidecar() throws Exception {
         FakeEndpoint first = servingEndpoint();
         FakeEndpoint second = servingEndpoint();
-        SidecarFixture predecessor = fixture(first, second).start();
+        SidecarFixture predecessor = fixture(first, second);
+        predecessor.requestIdPrefix = "p";
+        predecessor.start();
         assertEquals(
                 200,
                 predecessor
--- a/sidecar/src/test/java/martenlatch/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SidecarFixture.java
@@ -63,6 +63,9 @@
     /** The entries of the endpoint list in the configuration file; null for those of {@link #endpoints}. */
     List<String> known;
 
+    /** The start of the request ids; processes of one sidecar need different ones. */
+    String requestIdPrefix = "r";
+
     private int requestCounter;
 
     SidecarFixture(FakeEndpoint... endpoints) throws IOException {
@@ -165,8 +168,8 @@
 
     /** Returns a request: GET for the idempotent class "read", otherwise POST with a body. */
     String request(String requestClass, int deadlineMs) {
-        String headers = "X-Request-Id: r" + requestCounter++ + "\r\nX-Class: " + requestClass + "\r\nX-Deadline-Ms: "
-                + deadlineMs + "\r\nHost: app.svc\r\n";
+        String headers = "X-Request-Id: " + requestIdPrefix + requestCounter++ + "\r\nX-Class: " + requestClass
+                + "\r\nX-Deadline-Ms: " + deadlineMs + "\r\nHost: app.svc\r\n";
         return requestClass.equals("read")
                 ? "GET /api?q=1 HTTP/1.1\r\n" + headers + "\r\n"
                 : "POST /api?q=1 HTTP/1.1\r\n" + headers + "Idempotency-Key: k1\r\nContent-Length: 5\r\n\r\nhello";
