Write the end of an upload only after its last part has been written

Seen while bodies were made to be written in parts (LongRequestBodiesTest.slowClientIsServed): an endpoint got a complete order three times, and its client was told 503, never run. Cause: writing a part can make the channel not writable; Netty reports that from within the write, StreamedRequestBody then saw that nothing was pending and wrote the end, from within the encoder's write of the last part.

forwardPendingParts no longer enters itself. StreamedRequestBodyTest.endFollowsLastPartAlthoughSinkReportsItsStateMeanwhile fails without the flag.

--- a/sidecar/src/main/java/martenlatch/upstream/StreamedRequestBody.java
+++ b/sidecar/src/main/java/martenlatch/upstream/StreamedRequestBody.java
@@ -1,6 +1,7 @@
 package martenlatch.upstream;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
@@ -14,9 +15,20 @@
 
     /** The number of bytes waiting for the endpoint at which the client is paused. One more read may follow. */
     private static final int PAUSE_THRESHOLD_BYTES = 32 * 1024;
+    /** The largest part that is forwarded at once: sockets are written from a copy of it in direct memory. */
+    private static final int MAX_FORWARDED_BYTES = 16 * 1024;
 
     /** The client's connection, from which the body is received. */
     public interface Source {
+        /** The source of a body that is complete. */
+        Source COMPLETE = new Source() {
+            @Override
+            public void setPaused(boolean paused) {}
+
+            @Override
+            public void onSinkAttached() {}
+        };
+
         /** Pauses or resumes reading the body. */
         void setPaused(boolean paused);
 
@@ -41,6 +53,8 @@
     private int pendingBytes;
     private Sink sink;
     private boolean sinkFull;
+    /** Whether a part is being passed to the sink. */
+    private boolean forwarding;
     /** Whether a sink was ever attached; the body can no longer be sent from its first byte then. */
     private boolean attachedOnce;
 
@@ -63,6 +77,14 @@
         return length;
     }
 
+    /** Returns a body that is complete already, for one attempt. */
+    static StreamedRequestBody complete(byte[] bytes) {
+        StreamedRequestBody body = new StreamedRequestBody(bytes.length, Source.COMPLETE);
+        body.offer(Unpooled.wrappedBuffer(bytes));
+        body.complete();
+        return body;
+    }
+
     /** Returns whether the body can still be sent from its first byte. */
     boolean isAvailableFromStart() {
         return !attachedOnce && !aborted;
@@ -121,11 +143,17 @@
     }
 
     private void forwardPendingParts() {
+        // Writing a part may change whether the sink is full, which leads back here while the part is being written.
+        if (forwarding) {
+            return;
+        }
+        forwarding = true;
         while (sink != null && !sinkFull && !pendingParts.isEmpty()) {
-            ByteBuf next = pendingParts.poll();
+            ByteBuf next = takePart();
             pendingBytes -= next.readableBytes();
             sink.onPart(next);
         }
+        forwarding = false;
         if (sink != null && complete && pendingParts.isEmpty()) {
             Sink finished = sink;
             sink = null;
@@ -134,6 +162,14 @@
         updateSourcePause();
     }
 
+    private ByteBuf takePart() {
+        ByteBuf first = pendingParts.peek();
+        if (first.readableBytes() > MAX_FORWARDED_BYTES) {
+            return first.readRetainedSlice(MAX_FORWARDED_BYTES);
+        }
+        return pendingParts.remove();
+    }
+
     private void updateSourcePause() {
         // After a complete body the client is read again, so that its disconnect is noticed.
         boolean pause = pendingBytes >= PAUSE_THRESHOLD_BYTES && !complete;
--- a/sidecar/src/test/java/martenlatch/upstream/StreamedRequestBodyTest.java
+++ b/sidecar/src/test/java/martenlatch/upstream/StreamedRequestBodyTest.java
@@ -123,4 +123,30 @@
         body.abort();
         assertEquals(0, countUnreleasedParts());
     }
+
+    /**
+     * Guards against an end that is written while the last part is being written: the writes are mixed up, and an
+     * endpoint that got the whole request counts as one that never did.
+     */
+    @Test
+    void endFollowsLastPartAlthoughSinkReportsItsStateMeanwhile() {
+        List<String> events = new ArrayList<>();
+        StreamedRequestBody tested = StreamedRequestBody.complete(new byte[5 * PART_BYTES]);
+        tested.attach(new StreamedRequestBody.Sink() {
+            @Override
+            public void onPart(ByteBuf bytes) {
+                events.add("part");
+                tested.setSinkFull(true);
+                tested.setSinkFull(false);
+                bytes.release();
+                events.add("written");
+            }
+
+            @Override
+            public void onEnd() {
+                events.add("end");
+            }
+        });
+        assertEquals(List.of("part", "written", "part", "written", "part", "written", "end"), events);
+    }
 }
