Account for all memory held for clients; limit the fields of a head

Callers saw processes run out of memory under clients that send heads of thousands of short fields, slow uploads and late readers. Cause: only bodies over 64 KiB were counted, at their content. A field of two bytes takes some 160 on the heap, so 440 heads of 3,000 fields fill 64 MB; collected bodies doubled their buffers up to twice their size, uncounted up to 64 KiB; complete answers were copied whole to direct memory, whether or not their client read; a streamed answer kept what had been collected of it until its end.

MemoryBudget is the one owner: heads field by field, bodies and answers at their capacity, up to 3/8 of the heap or of what memory_mb leaves for it. A head has 128 fields at most (431). Where it is short, a client that already holds answers is told 503, bodies are streamed, answers wait in the endpoint's socket; where it is used up, the connection with the largest incomplete head is closed. Answers and bodies are written in parts of 8 and 16 KiB, only while the channel is writable, so that direct memory holds a part for each connection. A log line says what is held, for what, and the limit.

--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
@@ -59,6 +60,8 @@
     private final SocketChannel channel;
     private final FrontendContext context;
     private final ConnectionGuard guard;
+    private final RequestHeadersFactory headersFactory;
+    private final HttpRequestDecoder decoder;
     private final RequestBodyCollector collector;
     private final ResponseQueue responses;
     private final Deque<QueuedRequest> queuedRequests = new ArrayDeque<>();
@@ -79,13 +82,33 @@
         this.channel = channel;
         this.context = context;
         guard = new ConnectionGuard(channel);
-        collector = new RequestBodyCollector(guard, context.bodyMemory(), this);
+        headersFactory = new RequestHeadersFactory(context.memory(), this::reclaimMemory);
+        RequestHeadersFactory trailersFactory = new RequestHeadersFactory(context.memory(), this::reclaimMemory);
+        decoder = new HttpRequestDecoder(
+                new HttpDecoderConfig().setHeadersFactory(headersFactory).setTrailersFactory(trailersFactory));
+        collector = new RequestBodyCollector(guard, context.memory(), headersFactory, trailersFactory, this);
         responses = new ResponseQueue(channel, context.state(), this);
     }
 
     /** Adds the handlers of this connection to the pipeline of its channel. */
     void addTo(ChannelPipeline pipeline) {
-        pipeline.addLast(guard, new HttpRequestDecoder(), new HttpResponseEncoder(), collector, this);
+        pipeline.addLast(guard, decoder, new HttpResponseEncoder(), collector, this);
+    }
+
+    /** Returns the memory held by the request head that is being received, in bytes. */
+    int incompleteHeadBytes() {
+        return headersFactory.incompleteBytes();
+    }
+
+    /** Closes the connection, which is in the middle of a request head, to release the memory that the head holds. */
+    void closeInHead() {
+        headersFactory.releaseIncomplete();
+        channel.close();
+    }
+
+    private boolean reclaimMemory(int ownBytes) {
+        context.logger().log("memory is used up", context.memory());
+        return context.connections().closeLargestIncompleteHead(ownBytes);
     }
 
     ResponseQueue responses() {
@@ -197,7 +220,7 @@
     }
 
     private void onRequest(RequestEvent event) {
-        PendingResponse response = new PendingResponse(this, context.bodyMemory());
+        PendingResponse response = new PendingResponse(this, context.memory());
         responses.add(response);
         context.connections().markBusy(this);
         if (!(event instanceof StreamedRequest)) {
@@ -205,7 +228,9 @@
         }
         updateReading();
         if (event instanceof CompleteRequest complete) {
-            response.setBodyBytes(complete.body().length);
+            response.setRequestMemory(complete.headMemory(), complete.body().length);
+        } else if (event instanceof StreamedRequest streamed) {
+            response.setRequestMemory(streamed.headMemory(), 0);
         }
         if (event instanceof InvalidInput invalid) {
             response.rejectInvalid(invalid.status(), invalid.reason());
@@ -254,6 +279,13 @@
             response.onRejected(OVERFLOW_RETRY_AFTER_MS);
             return;
         }
+        // A client that already holds memory gets no more while memory is short; others are still served.
+        boolean holdsMemory = responses.size() > 1 || !channel.isWritable();
+        if (holdsMemory && context.memory().isShort()) {
+            context.logger().log("requests of clients that hold memory are rejected", context.memory());
+            response.onRejected(OVERFLOW_RETRY_AFTER_MS);
+            return;
+        }
         clientSentRequest = true;
         queuedRequests.add(new QueuedRequest(response, accepted, toOutgoingRequest(request, body, streamedBody)));
         if (streamedBody != null) {
@@ -388,7 +420,7 @@
             context.connections().markExpendable(this);
         }
         for (PendingResponse response : abandoned) {
-            response.releaseBodyMemory();
+            response.releaseMemory();
             if (response.isAwaited()) {
                 context.requestTracker().onClientDisconnected(response.requestId());
             }
--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnections.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnections.java
@@ -100,6 +100,25 @@
         return true;
     }
 
+    /**
+     * Closes the connection whose incomplete request head holds the most memory, if it holds more than {@code bytes}.
+     * The request was not accepted, as its last byte has not arrived. Returns whether a connection was closed.
+     */
+    boolean closeLargestIncompleteHead(int bytes) {
+        ClientConnection largest = null;
+        int largestBytes = bytes;
+        for (ClientConnection connection : all) {
+            if (connection.incompleteHeadBytes() > largestBytes) {
+                largest = connection;
+                largestBytes = connection.incompleteHeadBytes();
+            }
+        }
+        if (largest != null) {
+            largest.closeInHead();
+        }
+        return largest != null;
+    }
+
     /** Accepts connections only while the limit and its overflow are not used up. */
     private void updateAccepting() {
         boolean withinLimit = all.size() < maxConnections + OVERFLOW_CONNECTIONS;
--- a/sidecar/src/main/java/martenlatch/frontend/http/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/Frontend.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import martenlatch.net.Buffers;
+import martenlatch.net.MemoryBudget;
 import martenlatch.policy.api.BalancerSettings;
 import martenlatch.request.RateLimitedLogger;
 import martenlatch.request.RequestTracker;
@@ -32,7 +33,7 @@
     private final RequestTracker requestTracker;
     private final FrontendState state;
     private final ClientConnections connections;
-    private final BodyMemoryBudget bodyMemory;
+    private final MemoryBudget memory;
     private final FrontendContext context;
     private ClientListener listener;
 
@@ -55,8 +56,8 @@
         this.requestTracker = requestTracker;
         state = new FrontendState(settings);
         connections = new ClientConnections(maxConnections, logger);
-        bodyMemory = new BodyMemoryBudget(Runtime.getRuntime().maxMemory());
-        context = new FrontendContext(scheduler, logger, requestTracker, endpointPool, bodyMemory, connections, state);
+        memory = endpointPool.memory();
+        context = new FrontendContext(scheduler, logger, requestTracker, endpointPool, memory, connections, state);
     }
 
     /** Listens for clients; the future fails if the address cannot be bound. */
@@ -182,9 +183,9 @@
         closeIdleClients();
     }
 
-    /** Returns the memory reserved for collected bodies, in bytes; 0 when all requests have a response. */
+    /** Returns the memory reserved for clients, in bytes; 0 when all requests have a response. */
     public long bodyBytesHeld() {
-        return bodyMemory.reservedBytes();
+        return memory.reservedBytes();
     }
 
     /** Returns whether no client is connected and the listener, including its accept queue, is closed. */
--- a/sidecar/src/main/java/martenlatch/frontend/http/FrontendContext.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/FrontendContext.java
@@ -1,5 +1,6 @@
 package martenlatch.frontend.http;
 
+import martenlatch.net.MemoryBudget;
 import martenlatch.request.RateLimitedLogger;
 import martenlatch.request.RequestTracker;
 import martenlatch.request.Scheduler;
@@ -12,7 +13,7 @@
  * @param logger the log for operators
  * @param requestTracker accepts the requests
  * @param endpointPool sends the attempts of the requests
- * @param bodyMemory limits the memory of collected bodies
+ * @param memory accounts for the memory that is held for clients
  * @param connections all client connections
  * @param state readiness, shutdown and settings
  */
@@ -21,7 +22,7 @@
         RateLimitedLogger logger,
         RequestTracker requestTracker,
         EndpointPool endpointPool,
-        BodyMemoryBudget bodyMemory,
+        MemoryBudget memory,
         ClientConnections connections,
         FrontendState state) {
 
--- a/sidecar/src/main/java/martenlatch/frontend/http/PendingResponse.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/PendingResponse.java
@@ -2,9 +2,13 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import martenlatch.net.MemoryBudget;
+import martenlatch.net.MemoryBudget.Use;
+import martenlatch.net.PartQueue;
 import martenlatch.request.EndpointResponse;
 import martenlatch.request.RemainingBody;
 import martenlatch.request.ResponseListener;
@@ -12,15 +16,22 @@
 /** The response to one request of a client connection, from the arrival of the request until it is written. */
 final class PendingResponse implements ResponseListener, RemainingBody.Receiver {
 
+    /** The memory that a response takes besides its body: its head and the objects around it. */
+    private static final int RESPONSE_OVERHEAD_BYTES = 512;
+
     private final ClientConnection connection;
-    private final BodyMemoryBudget bodyMemory;
+    private final MemoryBudget memory;
     /** The id of the request once it is accepted by the request tracker, or null. */
     private String requestId;
 
     private boolean keepAlive;
     private boolean supportsChunked;
+    /** The headers of the request, whose memory is reserved; null if there are none or it is released. */
+    private RequestHeaders requestHeaders;
     /** The size of the collected request body that is reserved in the memory budget, in bytes. */
     private int bodyBytes;
+    /** The size of the response that is reserved in the memory budget, in bytes. */
+    private int responseBytes;
 
     private HttpResponse response;
     /** The part of the response body that is still being received from the endpoint, or null. */
@@ -31,9 +42,9 @@
     /** Whether the connection closes after this response; decided when it is written. */
     private boolean lastOnConnection;
 
-    PendingResponse(ClientConnection connection, BodyMemoryBudget bodyMemory) {
+    PendingResponse(ClientConnection connection, MemoryBudget memory) {
         this.connection = connection;
-        this.bodyMemory = bodyMemory;
+        this.memory = memory;
     }
 
     /** Sets whether the request keeps the connection alive and whether its client supports chunked responses. */
@@ -42,8 +53,10 @@
         supportsChunked = clientSupportsChunked;
     }
 
-    void setBodyBytes(int bytes) {
-        bodyBytes = bytes;
+    /** Takes over the reserved memory of the request. */
+    void setRequestMemory(RequestHeaders headers, int collectedBodyBytes) {
+        requestHeaders = headers;
+        bodyBytes = collectedBodyBytes;
     }
 
     void setRequestId(String id) {
@@ -94,9 +107,19 @@
         keepAlive = false;
     }
 
-    /** Releases the reserved memory of the request body; further calls have no effect. */
-    void releaseBodyMemory() {
-        bodyMemory.release(bodyBytes);
+    /** Releases the reserved memory of the request and of the response; further calls have no effect. */
+    void releaseMemory() {
+        releaseRequestMemory();
+        memory.release(Use.RESPONSE, responseBytes);
+        responseBytes = 0;
+    }
+
+    private void releaseRequestMemory() {
+        if (requestHeaders != null) {
+            requestHeaders.release();
+            requestHeaders = null;
+        }
+        memory.release(Use.REQUEST_BODY, bodyBytes);
         bodyBytes = 0;
     }
 
@@ -107,15 +130,19 @@
 
     @Override
     public void onServed(EndpointResponse endpointResponse) {
-        if (endpointResponse.remainingBody() == null) {
-            respond(HttpResponses.served(endpointResponse));
+        RemainingBody arriving = endpointResponse.remainingBody();
+        byte[] complete = endpointResponse.body();
+        if (arriving != null) {
+            respondStreaming(endpointResponse, arriving);
+        } else if (complete.length > PartQueue.MAX_SLICE_BYTES) {
+            respondStreaming(endpointResponse, new CompleteBody(complete, memory));
         } else {
-            respondStreaming(endpointResponse);
+            respond(HttpResponses.served(endpointResponse));
         }
     }
 
-    private void respondStreaming(EndpointResponse endpointResponse) {
-        remainingBody = endpointResponse.remainingBody();
+    private void respondStreaming(EndpointResponse endpointResponse, RemainingBody body) {
+        remainingBody = body;
         HttpResponse head = HttpResponses.streamedHead(endpointResponse);
         if (remainingBody.length() >= 0) {
             HttpUtil.setContentLength(head, remainingBody.length());
@@ -170,7 +197,12 @@
     /** Sets the response and writes it as soon as the responses before it are written. */
     void respond(HttpResponse finalResponse) {
         response = finalResponse;
-        releaseBodyMemory();
+        releaseRequestMemory();
+        responseBytes = RESPONSE_OVERHEAD_BYTES
+                + (finalResponse instanceof FullHttpResponse full
+                        ? full.content().readableBytes()
+                        : 0);
+        memory.reserve(Use.RESPONSE, responseBytes);
         if (connection.stopReceivingBodyOf(this)) {
             keepAlive = false;
         }
--- a/sidecar/src/main/java/martenlatch/frontend/http/RequestBodyCollector.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/RequestBodyCollector.java
@@ -1,8 +1,6 @@
 package martenlatch.frontend.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
@@ -22,6 +20,9 @@
 import martenlatch.frontend.http.RequestEvent.CompleteRequest;
 import martenlatch.frontend.http.RequestEvent.InvalidInput;
 import martenlatch.frontend.http.RequestEvent.StreamedRequest;
+import martenlatch.net.CollectedBytes;
+import martenlatch.net.MemoryBudget;
+import martenlatch.net.MemoryBudget.Use;
 import martenlatch.upstream.StreamedRequestBody;
 
 /**
@@ -32,19 +33,28 @@
 
     /** The longest body that is accepted, in bytes. */
     static final long MAX_BODY_BYTES = 32 * 1024 * 1024;
+    /** The longest body that is collected before its request is forwarded, in bytes. */
+    private static final int MAX_COLLECTED_BYTES = 1024 * 1024;
 
     private static final InvalidInput TOO_LARGE =
             new InvalidInput(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
 
+    private static final InvalidInput MEMORY_SHORT =
+            new InvalidInput(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the request");
+
     private final ConnectionGuard guard;
-    private final BodyMemoryBudget memory;
+    private final MemoryBudget memory;
+    private final RequestHeadersFactory headersFactory;
+    private final RequestHeadersFactory trailersFactory;
     private final StreamedRequestBody.Source client;
     private HttpRequest head;
+    /** The headers of that request until it is emitted, whose memory is then released by its receiver; or null. */
+    private RequestHeaders headMemory;
     /** Whether the request keeps the connection alive; read early, as forwarding removes hop-by-hop headers. */
     private boolean keepAlive;
 
     /** The part of the body collected so far; null if no body is being collected. */
-    private ByteBuf collected;
+    private CollectedBytes collected;
     /** The body that is being streamed, or null. */
     private StreamedRequestBody streamedBody;
 
@@ -56,9 +66,16 @@
     private boolean stopped;
 
     /** Creates a collector that pauses {@code client} when a body arrives faster than it can be forwarded. */
-    RequestBodyCollector(ConnectionGuard guard, BodyMemoryBudget memory, StreamedRequestBody.Source client) {
+    RequestBodyCollector(
+            ConnectionGuard guard,
+            MemoryBudget memory,
+            RequestHeadersFactory headersFactory,
+            RequestHeadersFactory trailersFactory,
+            StreamedRequestBody.Source client) {
         this.guard = guard;
         this.memory = memory;
+        this.headersFactory = headersFactory;
+        this.trailersFactory = trailersFactory;
         this.client = client;
     }
 
@@ -82,6 +99,9 @@
     }
 
     private static InvalidInput toInvalidInput(Throwable cause) {
+        if (cause instanceof MemoryShortageException) {
+            return MEMORY_SHORT;
+        }
         boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
         return tooLong
                 ? new InvalidInput(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
@@ -99,12 +119,14 @@
             reject(ctx, new InvalidInput(HttpResponseStatus.EXPECTATION_FAILED, "unknown expectation"));
         } else {
             head = request;
+            headMemory = headersFactory.takeComplete();
             keepAlive = HttpUtil.isKeepAlive(request);
             guard.onHeadComplete();
             continuePending = expectation != null;
             streamedBytes = 0;
-            collected = Unpooled.buffer(0, BodyMemoryBudget.MAX_COLLECTED_BYTES);
-            if (length > BodyMemoryBudget.MAX_COLLECTED_BYTES) {
+            collected = new CollectedBytes(
+                    memory, Use.REQUEST_BODY, MAX_COLLECTED_BYTES, HttpUtil.getContentLength(request, -1L));
+            if (length > MAX_COLLECTED_BYTES) {
                 startStreaming(ctx);
             } else {
                 sendContinue();
@@ -132,19 +154,15 @@
 
     private void onContent(ChannelHandlerContext ctx, HttpContent content) {
         ByteBuf bytes = content.content();
-        if (streamedBody == null) {
-            int size = collected.readableBytes();
-            if (memory.tryGrow(size, size + bytes.readableBytes())) {
-                collected.writeBytes(bytes);
-            } else {
-                startStreaming(ctx);
-            }
+        boolean streams = streamedBody != null || !collected.tryAppend(bytes);
+        if (streams && streamedBody == null) {
+            startStreaming(ctx);
         }
         // Starting to stream the body may have led to a response, which stops this collector.
         if (stopped) {
             return;
         }
-        if (streamedBody != null && bytes.isReadable()) {
+        if (streams && bytes.isReadable()) {
             streamedBytes += bytes.readableBytes();
             if (streamedBytes > MAX_BODY_BYTES) {
                 reject(ctx, TOO_LARGE);
@@ -162,15 +180,16 @@
         stopped = !keepAlive;
         HttpRequest request = head;
         head = null;
+        trailersFactory.releaseIncomplete();
         if (streamedBody != null) {
             StreamedRequestBody complete = streamedBody;
             streamedBody = null;
             ctx.fireChannelRead(new BodyComplete());
             complete.complete();
         } else {
-            byte[] body = ByteBufUtil.getBytes(collected);
-            releaseCollected();
-            ctx.fireChannelRead(new CompleteRequest(request, body));
+            byte[] body = collected.take();
+            collected = null;
+            ctx.fireChannelRead(new CompleteRequest(request, takeHeadMemory(), body));
         }
     }
 
@@ -187,19 +206,18 @@
                 sendContinue();
             }
         });
-        streamedBytes = collected.readableBytes();
+        streamedBytes = collected.size();
         if (streamedBytes > 0) {
-            streamedBody.offer(Unpooled.copiedBuffer(collected));
+            streamedBody.offer(collected.takeBuffer());
         }
-        releaseCollectedAndReservation();
-        ctx.fireChannelRead(new StreamedRequest(head, streamedBody));
+        releaseCollected();
+        ctx.fireChannelRead(new StreamedRequest(head, takeHeadMemory(), streamedBody));
     }
 
-    private void releaseCollectedAndReservation() {
-        if (collected != null) {
-            memory.release(collected.readableBytes());
-        }
-        releaseCollected();
+    private RequestHeaders takeHeadMemory() {
+        RequestHeaders taken = headMemory;
+        headMemory = null;
+        return taken;
     }
 
     private void releaseCollected() {
@@ -212,7 +230,12 @@
     /** Discards all further input of this connection and aborts the body that is being received. */
     void stop() {
         stopped = true;
-        releaseCollectedAndReservation();
+        releaseCollected();
+        headersFactory.releaseIncomplete();
+        trailersFactory.releaseIncomplete();
+        if (headMemory != null) {
+            takeHeadMemory().release();
+        }
         head = null;
         if (streamedBody != null) {
             StreamedRequestBody aborted = streamedBody;
--- a/sidecar/src/main/java/martenlatch/frontend/http/ResponseQueue.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ResponseQueue.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import martenlatch.request.RemainingBody;
 
 /** The pending responses of a client connection, written in the order of their requests as HTTP/1.1 requires. */
 final class ResponseQueue {
@@ -26,6 +27,8 @@
     private final Deque<PendingResponse> pending = new ArrayDeque<>();
     /** The first pending response while its body is being streamed, or null. */
     private PendingResponse streaming;
+    /** Whether responses are being written. */
+    private boolean writing;
     /** Whether the last response of the connection has been passed to the channel. */
     private boolean closing;
 
@@ -63,12 +66,19 @@
 
     /** Writes the responses at the head of the queue that are ready. */
     void writeReady() {
+        // Writing may change whether the channel is writable, which leads back here.
+        if (writing) {
+            return;
+        }
+        writing = true;
         while (!closing
                 && streaming == null
+                && channel.isWritable()
                 && !pending.isEmpty()
                 && pending.peek().isReady()) {
             write(pending.peek());
         }
+        writing = false;
         listener.onReadyWritten();
     }
 
@@ -77,12 +87,20 @@
         if (next.isLastOnConnection()) {
             next.response().headers().set(HttpHeaderNames.CONNECTION, "close");
         }
-        ChannelFuture written = channel.writeAndFlush(next.response());
-        if (next.remainingBody() != null) {
+        RemainingBody remainingBody = next.remainingBody();
+        if (remainingBody != null) {
             streaming = next;
-            next.remainingBody().transferTo(next);
         } else {
             pending.poll();
+        }
+        // Written bytes count as direct memory, which limits itself: no more is written to a channel that is not
+        // writable.
+        next.releaseMemory();
+        ChannelFuture written = channel.writeAndFlush(next.response());
+        if (remainingBody != null) {
+            remainingBody.transferTo(next);
+            remainingBody.pause(!channel.isWritable());
+        } else {
             closeIfLast(next, written);
         }
     }
@@ -118,11 +136,14 @@
         channel.close();
     }
 
-    /** Pauses the streamed body while the channel is not writable, and resumes it afterwards. */
+    /** Pauses the streamed body while the channel is not writable; goes on writing afterwards. */
     void onWritabilityChanged() {
-        if (streaming != null) {
+        if (streaming != null && streaming.remainingBody() != null) {
             streaming.remainingBody().pause(!channel.isWritable());
         }
+        if (channel.isWritable()) {
+            writeReady();
+        }
     }
 
     /** Removes and returns all pending responses; called when nothing more can be written. */
--- a/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
@@ -15,6 +15,7 @@
 import martenlatch.discovery.PollTiming;
 import martenlatch.frontend.http.Frontend;
 import martenlatch.net.EventLoopScheduler;
+import martenlatch.net.MemoryBudget;
 import martenlatch.request.EndpointList;
 import martenlatch.request.ExecutionHistory;
 import martenlatch.request.PollFailure;
@@ -70,7 +71,8 @@
                 logger,
                 config.settings().limits().connectTimeoutMs(),
                 config.idleCloseMs(),
-                budget.endpointConnections());
+                budget.endpointConnections(),
+                config.maxMemoryBytes() == 0 ? MemoryBudget.ofHeap() : MemoryBudget.ofProcess(config.maxMemoryBytes()));
         discovery = new DiscoveryClient(
                 loop,
                 scheduler,
--- a/sidecar/src/main/java/martenlatch/site/SiteConfig.java
+++ b/sidecar/src/main/java/martenlatch/site/SiteConfig.java
@@ -33,6 +33,7 @@
  * @param discovery the address of discovery
  * @param seed the seed of all random choices
  * @param maxDescriptors the maximum number of file descriptors of the process
+ * @param maxMemoryBytes the maximum memory of the process, or 0 if the file does not limit it
  * @param idleCloseMs the maximum time after which endpoints close idle connections, in milliseconds
  * @param names the zones and machine types that endpoint lists refer to
  * @param cachedEndpointList the endpoint list at the time the file was written, which may be outdated
@@ -48,6 +49,7 @@
         InetSocketAddress discovery,
         long seed,
         int maxDescriptors,
+        long maxMemoryBytes,
         double idleCloseMs,
         EndpointListDecoder.Names names,
         EndpointList cachedEndpointList,
@@ -56,6 +58,8 @@
         Object peerListen,
         Object peers) {
 
+    private static final int BYTES_PER_MEGABYTE = 1024 * 1024;
+
     /**
      * Returns the addresses for gossip.
      *
@@ -122,6 +126,7 @@
                 seed(config.get("seed")),
                 (int) positive(
                         "limits.sockets", object("limits", config.get("limits")).get("sockets")),
+                maxMemoryBytes(object("limits", config.get("limits")).get("memory_mb")),
                 positive("settings.limits.idle-close-ms", limits.get("idle-close-ms")),
                 names,
                 EndpointListDecoder.of(object("known", config.get("known")), names),
@@ -152,6 +157,10 @@
         }
     }
 
+    private static long maxMemoryBytes(Object megabytes) {
+        return megabytes == null ? 0 : (long) (positive("limits.memory_mb", megabytes) * BYTES_PER_MEGABYTE);
+    }
+
     private static double positive(String field, Object value) {
         if (value instanceof Double number && number > 0 && !number.isInfinite()) {
             return number;
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointConnection.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.util.Optional;
+import martenlatch.net.MemoryBudget;
 import martenlatch.policy.api.AttemptOutcome;
 import martenlatch.request.EndpointResponse;
 import martenlatch.request.RateLimitedLogger;
@@ -43,13 +44,17 @@
     private boolean streamedResponseKeepsAlive;
 
     EndpointConnection(
-            PooledEndpoint endpoint, OpenConnections openConnections, Scheduler scheduler, RateLimitedLogger logger) {
+            PooledEndpoint endpoint,
+            OpenConnections openConnections,
+            Scheduler scheduler,
+            RateLimitedLogger logger,
+            MemoryBudget memory) {
         this.endpoint = endpoint;
         this.openConnections = openConnections;
         this.scheduler = scheduler;
         this.logger = logger;
         generation = endpoint.generation;
-        decoder = new ResponseDecoder(this, scheduler);
+        decoder = new ResponseDecoder(this, scheduler, memory);
     }
 
     EndpointAttempt attempt() {
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
@@ -7,6 +7,7 @@
 import java.util.Iterator;
 import java.util.List;
 import martenlatch.net.Buffers;
+import martenlatch.net.MemoryBudget;
 import martenlatch.request.EndpointConnections;
 import martenlatch.request.EndpointList;
 import martenlatch.request.RateLimitedLogger;
@@ -31,6 +32,7 @@
 
     private final Scheduler scheduler;
     private final RateLimitedLogger logger;
+    private final MemoryBudget memory;
     private final Bootstrap bootstrap;
     private final EndpointTable endpoints = new EndpointTable();
     private final OpenConnections openConnections;
@@ -51,6 +53,23 @@
             double connectTimeoutMs,
             double idleCloseMs,
             int maxConnections) {
+        this(loop, scheduler, logger, connectTimeoutMs, idleCloseMs, maxConnections, MemoryBudget.ofHeap());
+    }
+
+    /**
+     * Creates a pool as above.
+     *
+     * @param memory accounts for the memory that is held for clients and endpoints
+     */
+    public EndpointPool(
+            EventLoop loop,
+            Scheduler scheduler,
+            RateLimitedLogger logger,
+            double connectTimeoutMs,
+            double idleCloseMs,
+            int maxConnections,
+            MemoryBudget memory) {
+        this.memory = memory;
         this.scheduler = scheduler;
         this.logger = logger;
         openConnections = new OpenConnections(maxConnections);
@@ -61,7 +80,8 @@
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Buffers.WATER_MARK)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, Buffers.receiveBufferAllocator())
-                .option(ChannelOption.SO_RCVBUF, Buffers.SOCKET_BUFFER_BYTES);
+                .option(ChannelOption.SO_RCVBUF, Buffers.SOCKET_BUFFER_BYTES)
+                .option(ChannelOption.SO_SNDBUF, Buffers.SOCKET_BUFFER_BYTES);
         applyTimeouts(connectTimeoutMs, idleCloseMs);
         scheduleSweep();
     }
@@ -101,6 +121,11 @@
         }
     }
 
+    /** Returns the account of the memory that is held for clients and endpoints. */
+    public MemoryBudget memory() {
+        return memory;
+    }
+
     /** Returns the number of known endpoints. */
     public int size() {
         return endpoints.size();
@@ -139,7 +164,7 @@
             EndpointConnection.failUnconnected(
                     attempt, logger, "all " + openConnections.maxOpen() + " connections to endpoints are busy");
         } else {
-            new EndpointConnection(endpoint, openConnections, scheduler, logger).open(bootstrap, attempt);
+            new EndpointConnection(endpoint, openConnections, scheduler, logger, memory).open(bootstrap, attempt);
         }
         attempt.startNotAfterTimer();
     }
--- a/sidecar/src/main/java/martenlatch/upstream/HttpTransport.java
+++ b/sidecar/src/main/java/martenlatch/upstream/HttpTransport.java
@@ -14,6 +14,9 @@
 /** Sends the attempts of one request over HTTP/1.1 on connections of the pool. */
 final class HttpTransport implements Transport {
 
+    /** A longer body is written in parts, so that one part at a time is copied to direct memory. */
+    private static final int MAX_BODY_BYTES_WRITTEN_AT_ONCE = 16 * 1024;
+
     /** The handle of an attempt that ended without being sent. */
     private static final Transport.Attempt NOT_STARTED = new Transport.Attempt() {
         @Override
@@ -45,18 +48,25 @@
             listener.onAttemptFinished(AttemptOutcome.NOT_EXECUTED, null);
             return NOT_STARTED;
         }
+        StreamedRequestBody streamedBody = streamedBody();
         EndpointAttempt attempt = new EndpointAttempt(
-                buildHttpRequest(), request.streamedBody(), conditions, notAfterMs, pool.scheduler(), listener);
+                buildHttpRequest(streamedBody), streamedBody, conditions, notAfterMs, pool.scheduler(), listener);
         pool.send(endpointId, attempt);
         return attempt;
     }
 
-    private HttpRequest buildHttpRequest() {
+    /** Returns the body if it is written in parts, as it is still being received or as it is long; else null. */
+    private StreamedRequestBody streamedBody() {
+        boolean isLong = request.body().length > MAX_BODY_BYTES_WRITTEN_AT_ONCE;
+        return isLong ? StreamedRequestBody.complete(request.body()) : request.streamedBody();
+    }
+
+    private HttpRequest buildHttpRequest(StreamedRequestBody streamedBody) {
         // The first attempt uses the original headers; only the few requests with further attempts need a copy.
         HttpHeaders headers = headersUsed ? request.headers().copy() : request.headers();
         headersUsed = true;
-        if (request.streamedBody() != null) {
-            return buildStreamedRequest(headers);
+        if (streamedBody != null) {
+            return buildStreamedRequest(headers, streamedBody);
         }
         return new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
@@ -67,9 +77,9 @@
                 EmptyHttpHeaders.INSTANCE);
     }
 
-    private HttpRequest buildStreamedRequest(HttpHeaders headers) {
+    private HttpRequest buildStreamedRequest(HttpHeaders headers, StreamedRequestBody streamedBody) {
         HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), headers);
-        long length = request.streamedBody().length();
+        long length = streamedBody.length();
         if (length >= 0) {
             HttpUtil.setContentLength(head, length);
         } else {
--- a/sidecar/src/main/java/martenlatch/upstream/ResponseDecoder.java
+++ b/sidecar/src/main/java/martenlatch/upstream/ResponseDecoder.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
@@ -16,6 +15,8 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.Optional;
+import martenlatch.net.CollectedBytes;
+import martenlatch.net.MemoryBudget;
 import martenlatch.request.EndpointResponse;
 import martenlatch.request.RemainingBody;
 import martenlatch.request.Scheduler;
@@ -63,6 +64,7 @@
 
     private final Listener listener;
     private final Scheduler scheduler;
+    private final MemoryBudget memory;
     private final StrictHttpResponseDecoder httpDecoder = new StrictHttpResponseDecoder();
     /** Whether a request was written whose response is not complete yet. */
     private boolean responseExpected;
@@ -71,7 +73,7 @@
     /** The head of the response that is being decoded, or null. */
     private HttpResponse head;
     /** The bytes collected of its body, or null. */
-    private ByteBuf body;
+    private CollectedBytes body;
 
     /** The time at which that head was complete. */
     private double responseStartedMs;
@@ -93,7 +95,8 @@
     private boolean connectionFailed;
 
     /** Creates a decoder for one connection. */
-    public ResponseDecoder(Listener listener, Scheduler scheduler) {
+    public ResponseDecoder(Listener listener, Scheduler scheduler, MemoryBudget memory) {
+        this.memory = memory;
         this.listener = listener;
         this.scheduler = scheduler;
     }
@@ -184,8 +187,9 @@
         releaseBody();
         head = response;
         responseStartedMs = scheduler.now();
-        body = Unpooled.buffer();
-        boolean isLong = HttpUtil.getContentLength(response, 0L) > MAX_COLLECTED_BODY_BYTES;
+        long length = HttpUtil.getContentLength(response, -1L);
+        body = new CollectedBytes(memory, MemoryBudget.Use.RESPONSE, MAX_COLLECTED_BODY_BYTES, length);
+        boolean isLong = length > MAX_COLLECTED_BODY_BYTES;
         if (response.status().code() == HttpResponseStatus.OK.code() && isLong) {
             startStreaming();
         }
@@ -223,11 +227,11 @@
             return;
         }
         if (streamed == null) {
-            int size = body.readableBytes() + content.content().readableBytes();
-            if (size <= MAX_COLLECTED_BODY_BYTES) {
-                collect(content.content(), last);
+            if (body.tryAppend(content.content())) {
+                onCollected(last);
                 return;
             }
+            // The body is too long to be collected, or there is no memory for it.
             if (head.status().code() != HttpResponseStatus.OK.code()) {
                 reportInvalid();
                 return;
@@ -240,16 +244,22 @@
         stream(content.content(), last);
     }
 
-    private void collect(ByteBuf bytes, boolean last) {
-        body.writeBytes(bytes);
+    private void onCollected(boolean last) {
         if (last) {
             if (head.status().code() >= 200) {
-                completeResponse = buildResponse(ByteBufUtil.getBytes(body), null);
+                completeResponse = buildResponse(takeBody(), null);
             }
             releaseBody();
         }
     }
 
+    /** Returns the collected bytes; whoever gets them reserves their memory again before other events are handled. */
+    private byte[] takeBody() {
+        byte[] bytes = body.take();
+        memory.release(MemoryBudget.Use.RESPONSE, bytes.length);
+        return bytes;
+    }
+
     /** Reports the response and streams the bytes of its body that arrive from now on. */
     private void startStreaming() {
         StreamedResponse started = new StreamedResponse(
@@ -265,10 +275,11 @@
                         reportInvalid();
                     }
                 },
-                scheduler);
+                scheduler,
+                memory);
         streamed = started;
-        streamedBytes = body.readableBytes();
-        byte[] collected = ByteBufUtil.getBytes(body);
+        byte[] collected = takeBody();
+        streamedBytes = collected.length;
         EndpointResponse response = buildResponse(new byte[0], started);
         if (collected.length > 0) {
             started.onPart(collected);
--- a/sidecar/src/main/java/martenlatch/upstream/StreamedResponse.java
+++ b/sidecar/src/main/java/martenlatch/upstream/StreamedResponse.java
@@ -1,7 +1,7 @@
 package martenlatch.upstream;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import martenlatch.net.MemoryBudget;
+import martenlatch.net.PartQueue;
 import martenlatch.request.RemainingBody;
 import martenlatch.request.Scheduler;
 
@@ -28,17 +28,23 @@
 
     private final Connection connection;
     private final Scheduler scheduler;
-    /** The parts that arrived before a receiver was set. */
-    private final Deque<byte[]> bufferedParts = new ArrayDeque<>();
+    /** The parts that have arrived and wait for the receiver. */
+    private final PartQueue parts;
 
     private Receiver receiver;
     private Scheduler.Timer stallTimer;
     private double lastPartAtMs;
+    private boolean paused;
+    /** Whether parts are being passed to the receiver. */
+    private boolean sending;
+    /** Whether the last part has arrived. */
     private boolean ended;
+
     private boolean complete;
 
-    StreamedResponse(long length, Connection connection, Scheduler scheduler) {
+    StreamedResponse(long length, Connection connection, Scheduler scheduler, MemoryBudget memory) {
         this.length = length;
+        parts = new PartQueue(memory);
         this.connection = connection;
         this.scheduler = scheduler;
         lastPartAtMs = scheduler.now();
@@ -67,10 +73,27 @@
     /** Called when the next part has been received. */
     void onPart(byte[] bytes) {
         lastPartAtMs = scheduler.now();
-        if (receiver == null) {
-            bufferedParts.add(bytes);
-        } else {
-            receiver.onPart(bytes);
+        parts.add(bytes);
+        send();
+    }
+
+    /** Passes parts to the receiver until it pauses, and then the end. Reads on if nothing is left to be passed. */
+    private void send() {
+        // Passing a part may change whether the client's connection is writable, which calls pause().
+        if (sending || receiver == null) {
+            return;
+        }
+        sending = true;
+        while (!paused && receiver != null && !parts.isEmpty()) {
+            receiver.onPart(parts.poll());
+        }
+        sending = false;
+        if (receiver != null && ended && parts.isEmpty()) {
+            Receiver finished = receiver;
+            receiver = null;
+            finished.onEnd(complete);
+        } else if (!ended) {
+            connection.setReading(!paused && parts.isEmpty());
         }
     }
 
@@ -82,35 +105,29 @@
         ended = true;
         complete = bodyComplete;
         stallTimer.cancel();
-        if (receiver != null) {
-            receiver.onEnd(complete);
+        if (!complete) {
+            // What is left of a truncated body is of no use to the client, which must see that it is truncated.
+            parts.clear();
         }
+        send();
     }
 
     @Override
     public void transferTo(Receiver newReceiver) {
         receiver = newReceiver;
-        for (byte[] bytes = bufferedParts.poll(); bytes != null; bytes = bufferedParts.poll()) {
-            newReceiver.onPart(bytes);
-        }
-        if (ended) {
-            newReceiver.onEnd(complete);
-        } else {
-            connection.setReading(true);
-        }
+        send();
     }
 
     @Override
-    public void pause(boolean paused) {
-        if (!ended) {
-            connection.setReading(!paused);
-        }
+    public void pause(boolean pauseRequested) {
+        paused = pauseRequested;
+        send();
     }
 
     @Override
     public void abandon() {
         receiver = null;
-        bufferedParts.clear();
+        parts.clear();
         if (!ended) {
             ended = true;
             stallTimer.cancel();
--- a/sidecar/src/test/java/martenlatch/sidecar/HostileClientsProcessTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/HostileClientsProcessTest.java
@@ -40,6 +40,7 @@
         }
         fixture = new SidecarFixture(endpoints);
         fixture.memoryMb = memoryMb;
+        fixture.discovery.script = SidecarFixture::answerPollWithoutChanges;
         return fixture;
     }
 
--- a/sidecar/src/test/java/martenlatch/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SidecarFixture.java
@@ -105,6 +105,15 @@
                 + "\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":" + startedMs + "}";
     }
 
+    /** The script of a discovery whose list never changes: a poll that may not wait is answered, others are not. */
+    static void answerPollWithoutChanges(RawHttpClient connection, RawHttpClient.Message poll) throws Exception {
+        if (poll.startLine().contains("wait=1 ")) {
+            FakeEndpoint.answer(connection, 200, "", list(1, false));
+        } else {
+            connection.awaitClose();
+        }
+    }
+
     /** Returns an endpoint list as JSON. */
     static String list(int version, boolean full, String... entries) {
         return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + String.join(",", entries) + "]}";
--- a/sidecar/src/test/java/martenlatch/sidecar/SidecarProcess.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SidecarProcess.java
@@ -30,6 +30,7 @@
 
     private final Path folder;
     private final Process process;
+    private final Thread logReader;
     private final StringBuffer log = new StringBuffer();
     private final CompletableFuture<InetSocketAddress> listening = new CompletableFuture<>();
     private final CompletableFuture<Void> serving = new CompletableFuture<>();
@@ -41,9 +42,9 @@
         builder.environment().put("TMPDIR", folder.toString());
         builder.environment().keySet().removeAll(List.of("JAVA_TOOL_OPTIONS", "JDK_JAVA_OPTIONS", "GW_ADMIN"));
         process = builder.start();
-        Thread reader = new Thread(this::readLog, "sidecar-log");
-        reader.setDaemon(true);
-        reader.start();
+        logReader = new Thread(this::readLog, "sidecar-log");
+        logReader.setDaemon(true);
+        logReader.start();
     }
 
     /**
@@ -118,7 +119,8 @@
 
     /** Sends SIGTERM. */
     void terminate() {
-        process.destroy();
+        // Unlike Process.destroy() it keeps the log readable.
+        process.toHandle().destroy();
     }
 
     /** Waits for the end of the process and returns its exit status. */
@@ -126,6 +128,7 @@
         if (!process.waitFor(SidecarFixture.AWAIT_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
             throw new AssertionError("the process has not ended: " + log());
         }
+        logReader.join(SidecarFixture.AWAIT_TIMEOUT_MS);
         return process.exitValue();
     }
 
--- a/sidecar/src/test/java/martenlatch/upstream/StreamedResponseTest.java
+++ b/sidecar/src/test/java/martenlatch/upstream/StreamedResponseTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import martenlatch.net.MemoryBudget;
 import martenlatch.request.RemainingBody;
 import martenlatch.request.Scheduler;
 import org.junit.jupiter.api.Test;
@@ -70,7 +71,8 @@
                     closed = true;
                 }
             },
-            clock);
+            clock,
+            new MemoryBudget(1_000_000));
     private final RemainingBody.Receiver receiver = new RemainingBody.Receiver() {
         @Override
         public void onPart(byte[] bytes) {
