Take input that an upload's pause leaves unread into account: deadline and client's end

Callers got the final answer of an upload 0.6 and 0.9 s after its time (4 and 5 MB at 1.2 MB/s, deadline 2.5 s), and an upload was sent whole 0.2 s and more after its client had closed behind unread bytes.

UploadClock knows since when the last byte may have been written: since the pause, once all but 4 MiB (what the buffers of both ends may hold) have been read; the client's time runs from then on, and what was read to the end since does not count. Before an attempt is written the input is read, up to 2 MiB, to see an end behind it. SO_RCVBUF of clients is 128 KiB.

--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
@@ -27,6 +27,7 @@
 import martenlatch.frontend.http.RequestEvent.CompleteRequest;
 import martenlatch.frontend.http.RequestEvent.InvalidInput;
 import martenlatch.frontend.http.RequestEvent.StreamedRequest;
+import martenlatch.net.Buffers;
 import martenlatch.policy.api.Request;
 import martenlatch.request.RequestTracker.Acceptance;
 import martenlatch.upstream.OutgoingRequest;
@@ -39,6 +40,9 @@
     /** The maximum number of pipelined requests whose responses are not written yet. */
     private static final int MAX_PIPELINED = 8;
 
+    /** The number of bytes that are read to find out whether a client has disconnected behind them. */
+    private static final long MAX_READ_AHEAD_BYTES = 2 * 1024 * 1024;
+
     /** The Retry-After time of requests on a connection above the connection limit. */
     private static final double OVERFLOW_RETRY_AFTER_MS = 1000;
 
@@ -75,6 +79,8 @@
 
     /** Whether the channel is not read because the streamed body arrives faster than it is forwarded. */
     private boolean bodyPaused;
+    /** Knows since when the streamed body may be complete; null if none is being received. */
+    private UploadClock uploadClock;
     /** Whether a request received its response before its body was complete. */
     private boolean respondedBeforeBodyEnd;
 
@@ -148,10 +154,14 @@
         return responses.isEmpty() && !responses.isClosing() && !receivingRequest;
     }
 
-    /** Returns whether the client is still connected; reads available input first, unless a streamed body is paused. */
+    /**
+     * Returns whether the client is still connected. Reads the available input first, up to a limit, as a disconnect is
+     * only visible after it.
+     */
     boolean isClientConnected() {
-        if (!bodyPaused) {
-            guard.readAvailable();
+        long maxBytesRead = 0;
+        while (guard.readAvailable() && maxBytesRead < MAX_READ_AHEAD_BYTES) {
+            maxBytesRead += Buffers.MAX_READ_BYTES;
         }
         return channel.isActive();
     }
@@ -208,8 +218,14 @@
         PendingResponse complete = responseToIncompleteRequest;
         responseToIncompleteRequest = null;
         guard.onRequestComplete();
+        double nowMs = context.scheduler().now();
+        double writtenAtMs = uploadClock.mayBeCompleteSinceMs();
+        uploadClock = null;
         context.requestTracker()
-                .onRequestComplete(complete.requestId(), context.state().maxDeadlineMs());
+                .onRequestComplete(
+                        complete.requestId(),
+                        Double.isNaN(writtenAtMs) ? nowMs : writtenAtMs,
+                        context.state().maxDeadlineMs());
     }
 
     /** Cancels the request whose body cannot be completed; no endpoint has received the whole body. */
@@ -238,6 +254,7 @@
             response.rejectInvalid(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests ahead of answers");
         } else if (event instanceof StreamedRequest streamed) {
             responseToIncompleteRequest = response;
+            uploadClock = new UploadClock(HttpUtil.getContentLength(streamed.head(), -1L));
             route(response, streamed.head(), NO_BODY, streamed.body());
         } else if (event instanceof CompleteRequest complete) {
             route(response, complete.head(), complete.body(), null);
@@ -357,6 +374,41 @@
     public void setPaused(boolean paused) {
         bodyPaused = paused;
         updateReading();
+        if (paused && uploadClock != null) {
+            uploadClock.onPaused(context.scheduler().now());
+            updateUploadDeadline();
+        }
+    }
+
+    @Override
+    public void onBytesReceived(long totalBytes) {
+        if (uploadClock != null) {
+            uploadClock.onBytesRead(context.scheduler().now(), totalBytes);
+        }
+    }
+
+    /** Called after each read; a body that was paused before is read to the end of the input that has arrived. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (uploadClock != null && !bodyPaused && !Double.isNaN(uploadClock.mayBeCompleteSinceMs())) {
+            channel.eventLoop().execute(this::checkUploadDrained);
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    private void checkUploadDrained() {
+        if (uploadClock != null && !bodyPaused && !guard.readAvailable() && uploadClock != null) {
+            uploadClock.onDrained();
+            updateUploadDeadline();
+        }
+    }
+
+    private void updateUploadDeadline() {
+        if (responseToIncompleteRequest != null && responseToIncompleteRequest.isAwaited()) {
+            context.requestTracker()
+                    .onRequestMayBeComplete(
+                            responseToIncompleteRequest.requestId(), uploadClock.mayBeCompleteSinceMs());
+        }
     }
 
     @Override
--- a/sidecar/src/main/java/martenlatch/frontend/http/Frontend.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/Frontend.java
@@ -69,6 +69,8 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 // During an upgrade the old and the new process listen at the same time.
                 .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
+                // Inherited by accepted sockets; it bounds what a client may have written that is not read.
+                .option(ChannelOption.SO_RCVBUF, Buffers.SOCKET_BUFFER_BYTES)
                 .childOption(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Buffers.WATER_MARK)
--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -201,21 +201,53 @@
         events.enqueue(accepted, now -> balancer.onRequest(now, request));
     }
 
+    /**
+     * Called when the last byte of an incomplete request may have been written without being read, or if it turns out
+     * that it was not. While it may have been, the client's time runs.
+     *
+     * @param sinceMs the time since which the last byte may have been written; NaN if it was not
+     */
+    public void onRequestMayBeComplete(String requestId, double sinceMs) {
+        PendingRequest request = pending.get(requestId);
+        if (request == null || !request.bodyIncomplete || request.concluded) {
+            return;
+        }
+        request.cancelDeadlineTimer();
+        if (!Double.isNaN(sinceMs)) {
+            double dueMs = sinceMs + request.deadlineMs - request.acceptedAtMs;
+            request.deadlineTimer = scheduler.after(dueMs - scheduler.now(), () -> endUpload(request));
+        }
+    }
+
+    /** Ends a request whose last byte was not forwarded by the deadline; no attempt of it can have been executed. */
+    private void endUpload(PendingRequest request) {
+        logger.log("upload not forwarded by the deadline", request.id());
+        for (PendingAttempt attempt : List.copyOf(request.attempts)) {
+            giveUp(request, attempt, AttemptOutcome.TIMED_OUT);
+        }
+        if (!request.concluded) {
+            failWithoutBalancer(request);
+        }
+    }
+
     /**
      * Called when the last byte of a request has arrived. Starts the timers of the request and its attempts; its
      * deadline is {@code latestMs} at the latest.
+     *
+     * @param writtenAtMs the time since which the last byte may have been written, at most the current time
      */
-    public void onRequestComplete(String requestId, double latestMs) {
+    public void onRequestComplete(String requestId, double writtenAtMs, double latestMs) {
         PendingRequest request = pending.get(requestId);
         if (request == null || !request.bodyIncomplete) {
             return;
         }
         request.bodyIncomplete = false;
+        request.cancelDeadlineTimer();
         if (request.claimed) {
             executionHistory.renew(requestId, request.requestClass);
         }
         double now = scheduler.now();
-        request.deadlineMs = Math.min(latestMs, request.deadlineMs + now - request.acceptedAtMs);
+        request.deadlineMs = Math.min(latestMs, request.deadlineMs + writtenAtMs - request.acceptedAtMs);
         if (!request.concluded) {
             startDeadlineTimer(request);
         }
@@ -270,12 +302,9 @@
         }
     }
 
-    /**
-     * Checks whether the client is still connected, as it may have disconnected while the event loop was busy. Not
-     * needed while the body is incomplete: the connection is then being read, which reports a disconnect by itself.
-     */
+    /** Checks whether the client is still connected, as it may have disconnected while the event loop was busy. */
     private void detectDisconnectedClient(PendingRequest request) {
-        if (!request.concluded && !request.bodyIncomplete && !request.listener.isConnected()) {
+        if (!request.concluded && !request.listener.isConnected()) {
             onClientDisconnected(request.id());
         }
     }
--- a/sidecar/src/main/java/martenlatch/upstream/StreamedRequestBody.java
+++ b/sidecar/src/main/java/martenlatch/upstream/StreamedRequestBody.java
@@ -32,6 +32,9 @@
         /** Pauses or resumes reading the body. */
         void setPaused(boolean paused);
 
+        /** Called when bytes of the body have been received, before they are offered. */
+        default void onBytesReceived(long totalBytes) {}
+
         /** Called when an endpoint is ready for the body, so that {@code 100 Continue} may be sent to the client. */
         void onSinkAttached();
     }
