Keep the stall timer of an upload whose endpoint stops reading

Trace with times: forwarding fills the channel again, which starts the timer; then the caller, who had read 'not full' before it forwarded, cancels it. Now the state of the channel is read after forwarding.

--- a/sidecar/src/main/java/martenlatch/upstream/EndpointConnection.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointConnection.java
@@ -186,9 +186,10 @@
         if (uploadingAttempt == null) {
             return;
         }
-        boolean full = !channel.isWritable();
-        uploadingAttempt.streamedBody().setSinkFull(full);
-        if (!full) {
+        uploadingAttempt.streamedBody().setSinkFull(!channel.isWritable());
+        // Forwarding may have filled the channel again, and may have ended the upload.
+        boolean stalled = uploadingAttempt != null && !channel.isWritable();
+        if (!stalled) {
             cancelUploadStallTimer();
         } else if (uploadStallTimer == null) {
             uploadStallTimer = scheduler.after(UPLOAD_STALL_MS, this::close);
