Measure a client's reading by progress; time out a request that begins behind another

Causes: the deadlines of an idle and of a closing connection ran although its output was not written; only the first byte of a read began a request.

ClientRequestDecoder tells whether a head is incomplete, so that the 2.5 s of a request run from its own beginning. Input that waits for earlier requests is not held against the client.

ClientLimitsTest.stalledRequestBehindAnotherTimesOut (4 cases), LongResponsesTest.responseIsCompleteAlthoughClientPauses (4 cases).

--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
@@ -8,11 +8,9 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -65,7 +63,7 @@
     private final FrontendContext context;
     private final ConnectionGuard guard;
     private final RequestHeadersFactory headersFactory;
-    private final HttpRequestDecoder decoder;
+    private final ClientRequestDecoder decoder;
     private final RequestBodyCollector collector;
     private final ResponseQueue responses;
     private final Deque<QueuedRequest> queuedRequests = new ArrayDeque<>();
@@ -87,11 +85,10 @@
     ClientConnection(SocketChannel channel, FrontendContext context) {
         this.channel = channel;
         this.context = context;
-        guard = new ConnectionGuard(channel);
         headersFactory = new RequestHeadersFactory(context.memory(), this::reclaimMemory);
         RequestHeadersFactory trailersFactory = new RequestHeadersFactory(context.memory(), this::reclaimMemory);
-        decoder = new HttpRequestDecoder(
-                new HttpDecoderConfig().setHeadersFactory(headersFactory).setTrailersFactory(trailersFactory));
+        decoder = new ClientRequestDecoder(headersFactory, trailersFactory);
+        guard = new ConnectionGuard(channel, decoder);
         collector = new RequestBodyCollector(guard, context.memory(), headersFactory, trailersFactory, this);
         responses = new ResponseQueue(channel, context.state(), this);
     }
@@ -145,6 +142,15 @@
             guard.readAvailable();
         }
         if (isIdle(waitForPartialRequest)) {
+            closeAfterOutput();
+        }
+    }
+
+    /** Closes the connection once the responses that were passed to the channel are written. */
+    private void closeAfterOutput() {
+        if (guard.hasPendingOutput()) {
+            guard.closeAfter(channel.writeAndFlush(Unpooled.EMPTY_BUFFER), false, 0);
+        } else {
             channel.close();
         }
     }
@@ -173,6 +179,12 @@
 
     void write(HttpContent content) {
         channel.writeAndFlush(content);
+        guard.onOutput();
+    }
+
+    /** Returns whether responses are due, or are not written yet. */
+    boolean owesOutput() {
+        return !responses.isEmpty() || guard.hasPendingOutput();
     }
 
     /** Stops reading requests, after the client has sent an invalid one. */
@@ -452,6 +464,7 @@
 
     @Override
     public void onReadyWritten() {
+        guard.onOutput();
         if (responses.isClosing()) {
             abandonResponses();
         } else if (responses.isEmpty() && context.connections().contains(this)) {
--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnections.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnections.java
@@ -92,7 +92,7 @@
             ClientConnection candidate = candidates.iterator().next();
             candidates.remove(candidate);
             candidate.readAvailable();
-            if (!candidate.hasPendingResponses()) {
+            if (!candidate.owesOutput()) {
                 all.remove(candidate);
                 candidate.close();
             }
--- a/sidecar/src/main/java/martenlatch/frontend/http/ConnectionGuard.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ConnectionGuard.java
@@ -49,6 +49,8 @@
 
     private final SocketChannel channel;
     private final LazyDeadline deadline;
+    private final OutputProgress output;
+    private final ClientRequestDecoder decoder;
     private final Deque<ByteBuf> bufferedInput = new ArrayDeque<>();
     private int bufferedBytes;
     /** Whether new input is buffered instead of being passed to the decoder. */
@@ -78,8 +80,11 @@
     /** The number of bytes by which the body has fallen behind the minimum rate; negative if it is ahead. */
     private long rateDeficitBytes;
 
-    ConnectionGuard(SocketChannel channel) {
+    /** Creates the guard of a connection; {@code decoder} is the next handler. */
+    ConnectionGuard(SocketChannel channel, ClientRequestDecoder decoder) {
         this.channel = channel;
+        this.decoder = decoder;
+        output = new OutputProgress(channel);
         deadline = new LazyDeadline(channel.eventLoop(), this::onDeadline);
     }
 
@@ -96,7 +101,14 @@
 
     private void onDeadline() {
         boolean receiving = inRequest && !discardingInput;
-        if (receiving && inBody && meetsMinBodyRate(deadline.durationMs())) {
+        boolean processing = bufferingInput || !bufferedInput.isEmpty();
+        if (output.isPending() && !receiving) {
+            // The client still reads; if it has stopped, that is noticed by its lack of progress.
+            deadline.start(IDLE_TIMEOUT_MS);
+        } else if (receiving && processing) {
+            // The rest of the request may have arrived and waits for earlier requests.
+            deadline.start(HEAD_TIMEOUT_MS);
+        } else if (receiving && inBody && meetsMinBodyRate(deadline.durationMs())) {
             deadline.start(BODY_RATE_CHECK_INTERVAL_MS);
         } else if (receiving) {
             context.fireUserEventTriggered(REQUEST_TIMEOUT);
@@ -159,7 +171,8 @@
 
     private void onRequestStarted() {
         inRequest = true;
-        if (idle) {
+        // The time limit for the first request runs from the connect.
+        if (idle || !deadline.isRunning()) {
             idle = false;
             deadline.start(HEAD_TIMEOUT_MS);
         }
@@ -168,6 +181,10 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         reading = false;
+        if (!inRequest && !discardingInput && decoder.isInHead()) {
+            // Behind a complete request, in the same read, the next one has begun.
+            onRequestStarted();
+        }
         ctx.fireChannelReadComplete();
     }
 
@@ -219,6 +236,9 @@
 
     /** Called when the head of a request is complete; from then on the minimum body rate applies. */
     void onHeadComplete() {
+        if (!inRequest) {
+            onRequestStarted();
+        }
         inBody = true;
         rateDeficitBytes = 0;
     }
@@ -228,6 +248,16 @@
         return inRequest;
     }
 
+    /** Called after output was passed to the channel. */
+    void onOutput() {
+        output.onOutput();
+    }
+
+    /** Returns whether there is output that the client's socket has not taken. */
+    boolean hasPendingOutput() {
+        return output.isPending();
+    }
+
     /** Called when a request is complete; no time limit applies here until its response is written. */
     void onRequestComplete() {
         inRequest = false;
@@ -240,7 +270,9 @@
     void onAllResponsesWritten() {
         if (!discardingInput && channel.isActive()) {
             idle = !inRequest;
-            deadline.start(inRequest ? HEAD_TIMEOUT_MS : IDLE_TIMEOUT_MS);
+            if (idle || !deadline.isRunning()) {
+                deadline.start(inRequest ? HEAD_TIMEOUT_MS : IDLE_TIMEOUT_MS);
+            }
         }
     }
 
@@ -262,7 +294,8 @@
         closing = true;
         closedDuringBody = duringBody;
         channel.config().setAutoRead(true);
-        deadline.start(HEAD_TIMEOUT_MS);
+        deadline.stop();
+        output.onOutput();
         lastResponse.addListener(written -> {
             if (written.isSuccess()) {
                 channel.shutdownOutput();
@@ -277,6 +310,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         releaseBufferedInput();
         deadline.close();
+        output.close();
         ctx.fireChannelInactive();
     }
 }
--- a/sidecar/src/main/java/martenlatch/frontend/http/RequestHeadersFactory.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/RequestHeadersFactory.java
@@ -37,6 +37,11 @@
         return complete;
     }
 
+    /** Returns whether a head is being received. */
+    boolean hasIncomplete() {
+        return incomplete != null;
+    }
+
     /** Returns the memory held by the head that is being received, in bytes. */
     int incompleteBytes() {
         return incomplete == null ? 0 : incomplete.reservedBytes();
--- a/sidecar/src/test/java/martenlatch/sidecar/ClientLimitsTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/ClientLimitsTest.java
@@ -85,6 +85,41 @@
         assertTrue((System.nanoTime() - startNanos) / 1e6 < MAX_ERROR_DELAY_MS);
     }
 
+    /**
+     * Guards against a client that stops in the middle of a request whose beginning arrived together with an earlier
+     * request: it holds an endpoint's slot, and is neither answered nor disconnected.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "POST /api HT",
+                "POST /api HTTP/1.1\r\nX-Request-Id: p1\r\n",
+                "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: p1\r\nX-Class: order\r\nX-Deadline-Ms: 8000\r\n"
+                        + "Content-Length: 10\r\n\r\nhel",
+                "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: p1\r\nX-Class: order\r\nX-Deadline-Ms: 8000\r\n"
+                        + "Content-Length: 3000000\r\n\r\nhel"
+            })
+    void stalledRequestBehindAnotherTimesOut(String partialRequest) throws Exception {
+        CountDownLatch answerAllowed = new CountDownLatch(1);
+        start(new FakeEndpoint((connection, request) -> {
+            answerAllowed.await();
+            FakeEndpoint.answer(connection, 200, "", "served");
+        }));
+        try (RawHttpClient client = fixture.client()) {
+            client.send(fixture.request("read", DEADLINE_MS) + partialRequest);
+            fixture.awaitPending(1);
+            // Longer than the time limit, so that it expires while an answer is due.
+            Thread.sleep(3500);
+            long startNanos = System.nanoTime();
+            answerAllowed.countDown();
+            assertEquals(200, client.read().status());
+            assertEquals(408, client.read().status());
+            assertTrue((System.nanoTime() - startNanos) / 1e6 < MAX_ERROR_DELAY_MS);
+            assertClosedWithoutMessage(client);
+        }
+        fixture.awaitPending(0);
+    }
+
     /** Guards against a time limit that is restarted by each byte. */
     @Test
     void slowlySentHeadTimesOut() throws Exception {
--- a/sidecar/src/test/java/martenlatch/sidecar/LongResponsesTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/LongResponsesTest.java
@@ -180,6 +180,25 @@
         }
     }
 
+    /**
+     * Guards against a response that is cut because its client reads nothing for a while: what counts is progress, and
+     * the time limit is longer than such a pause.
+     */
+    @ParameterizedTest
+    @CsvSource({"400000, close", "400000, keep-alive", "60000, close", "60000, keep-alive"})
+    void responseIsCompleteAlthoughClientPauses(int size, String connectionOption) throws Exception {
+        byte[] body = LongBodies.bytes(5, size);
+        fixture = SidecarFixture.startedWith((connection, request) ->
+                LongBodies.write(connection, LongBodies.OK + "Content-Length: " + size + "\r\n", body));
+        try (RawHttpClient client = RawHttpClient.connect(fixture.sidecar.address(), 4096)) {
+            client.send(fixture.request("read", DEADLINE_MS)
+                    .replace("Host: app.svc", "Host: app.svc\r\nConnection: " + connectionOption));
+            // Longer than the 5 s of an idle connection and the 2.5 s of a request head.
+            Thread.sleep(7000);
+            assertArrayEquals(body, LongBodies.body(client));
+        }
+    }
+
     /** A client disconnect during a response closes the endpoint's connection. The slot was already free before. */
     @Test
     void clientDisconnectClosesEndpointConnection() throws Exception {
