--- a/sidecar/src/test/java/martenlatch/sidecar/SidecarProcess.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SidecarProcess.java
@@ -123,6 +123,23 @@
         process.toHandle().destroy();
     }
 
+    /** Sends SIGHUP. */
+    void reload() throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid()))
+                .start()
+                .waitFor();
+    }
+
+    /** Sends SIGKILL. */
+    void kill() {
+        process.toHandle().destroyForcibly();
+    }
+
+    /** Waits for the end of the process; returns false if it has not ended in time. */
+    boolean awaitExit(int timeoutMs) throws InterruptedException {
+        return process.waitFor(timeoutMs, TimeUnit.MILLISECONDS);
+    }
+
     /** Waits for the end of the process and returns its exit status. */
     int awaitExit() throws InterruptedException {
         if (!process.waitFor(SidecarFixture.AWAIT_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
@@ -151,6 +168,10 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        if (!Files.exists(folder)) {
+            // Another process of the same sidecar was closed before.
+            return;
+        }
         try (Stream<Path> files = Files.walk(folder)) {
             files.sorted((first, second) -> second.compareTo(first)).forEach(SidecarProcess::delete);
         }
--- /dev/null
+++ b/sidecar/src/test/java/martenlatch/sidecar/SoakEndpoint.java
@@ -0,0 +1,102 @@
+package martenlatch.sidecar;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** The endpoints of a soak: they answer as each request's plan says, and count what they execute. */
+final class SoakEndpoint {
+
+    /** The header in which a client tells an endpoint how to answer. */
+    static final String PLAN_HEADER = "X-Plan";
+
+    /**
+     * How an endpoint answers.
+     *
+     * @param framing {@code length}, {@code chunked} or {@code close}
+     * @param size the size of the body in bytes
+     * @param parts the number of parts in which the body is written
+     * @param pauseMs the pause before each part, in milliseconds
+     */
+    record Plan(String framing, int size, int parts, int pauseMs) {
+        static Plan parse(String text) {
+            String[] fields = text.split(",", 4);
+            return new Plan(
+                    fields[0], Integer.parseInt(fields[1]), Integer.parseInt(fields[2]), Integer.parseInt(fields[3]));
+        }
+
+        @Override
+        public String toString() {
+            return framing + "," + size + "," + parts + "," + pauseMs;
+        }
+
+        int durationMs() {
+            return parts * pauseMs;
+        }
+    }
+
+    /** How often each id was executed. */
+    private final Map<String, AtomicInteger> executions = new ConcurrentHashMap<>();
+    /** The ids whose answers were written whole. */
+    private final Map<String, Boolean> written = new ConcurrentHashMap<>();
+
+    int executions(String id) {
+        AtomicInteger count = executions.get(id);
+        return count == null ? 0 : count.get();
+    }
+
+    boolean wasWrittenWhole(String id) {
+        return written.containsKey(id);
+    }
+
+    void answer(RawHttpClient connection, RawHttpClient.Message request) throws Exception {
+        String id = request.headers().get("x-request-id");
+        executions.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
+        String planText = request.headers().get("x-plan");
+        Plan plan = planText == null ? new Plan("length", 10, 1, 0) : Plan.parse(planText);
+        byte[] body = body(id, plan.size());
+        connection.send(LongBodies.OK
+                + switch (plan.framing()) {
+                    case "length" -> "Content-Length: " + plan.size() + "\r\n\r\n";
+                    case "chunked" -> "Transfer-Encoding: chunked\r\n\r\n";
+                    default -> "Connection: close\r\n\r\n";
+                });
+        for (int i = 0; i < plan.parts(); i++) {
+            Thread.sleep(plan.pauseMs());
+            int from = plan.size() * i / plan.parts();
+            int to = plan.size() * (i + 1) / plan.parts();
+            writePart(connection, plan, body, from, to);
+        }
+        if (plan.framing().equals("chunked")) {
+            connection.send("0\r\n\r\n");
+        }
+        written.put(id, true);
+        if (plan.framing().equals("close")) {
+            connection.close();
+        }
+    }
+
+    private static void writePart(RawHttpClient connection, Plan plan, byte[] body, int from, int to)
+            throws IOException {
+        if (from == to) {
+            return;
+        }
+        OutputStream out = connection.socket.getOutputStream();
+        boolean chunked = plan.framing().equals("chunked");
+        if (chunked) {
+            out.write((Integer.toHexString(to - from) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        }
+        out.write(body, from, to - from);
+        if (chunked) {
+            out.write("\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        }
+    }
+
+    /** Returns the body of the answer to an id. */
+    static byte[] body(String id, int size) {
+        return LongBodies.bytes(id.hashCode(), size);
+    }
+}
