--- a/sidecar/src/test/java/martenlatch/sidecar/CalmClients.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/CalmClients.java
@@ -83,6 +83,13 @@
         return failures;
     }
 
+    /** Returns the requests that got no answer at all; one that is rejected has got one. */
+    List<String> unanswered() {
+        return failures.stream()
+                .filter(failure -> !failure.contains(": status 503"))
+                .toList();
+    }
+
     int served() {
         return latenciesMs.size();
     }
--- a/sidecar/src/test/java/martenlatch/sidecar/HostileClientsProcessTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/HostileClientsProcessTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -25,6 +26,9 @@
     private static final int MIB = 1024 * 1024;
     private static final int HOSTILE_CLIENTS = 440;
     private static final int HOSTILE_MS = 8000;
+    private static final int REQUESTS_PER_CONNECTION = 500;
+    /** A calm request is answered within its deadline. */
+    private static final double MAX_CALM_MS = 3000;
 
     private SidecarFixture fixture;
 
@@ -117,6 +121,48 @@
         }
     }
 
+    /** What a client at full speed sends, again and again. */
+    private static String floodOf(String kind, long number) {
+        String head = " /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: flood" + number + "\r\nX-Deadline-Ms: 2000\r\n"
+                + "X-Tenant: t" + number + "\r\nCookie: key=" + number + "\r\n";
+        return switch (kind) {
+            case "sound" -> "GET" + head + "X-Class: read\r\n\r\n";
+            case "orders" -> "POST" + head + "X-Class: order\r\nContent-Length: 2\r\n\r\nhi";
+            case "keys" ->
+                "POST" + head + "X-Class: move\r\nIdempotency-Key: k" + number + "\r\nContent-Length: 0\r\n\r\n";
+            case "unsound" -> "GET" + head + "X-Class: unknown" + number + "\r\n\r\n";
+            default -> "POST" + head + "X-Class: order\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n";
+        };
+    }
+
+    /** Guards against one client that takes the time or the memory of all others, also under ever new names. */
+    @ParameterizedTest
+    @CsvSource({"sound", "orders", "keys", "unsound", "bad bodies"})
+    void clientAtFullSpeedLeavesOtherClientsServed(String kind) throws Exception {
+        int memoryMb = 144;
+        try (SidecarProcess process = SidecarProcess.start(fixture(memoryMb))) {
+            CalmClients calm = new CalmClients(process.address());
+            AtomicLong number = new AtomicLong();
+            List<Thread> flood = startHostile(process, 2, connection -> {
+                for (int i = 0; i < REQUESTS_PER_CONNECTION; i++) {
+                    connection.send(floodOf(kind, number.incrementAndGet()));
+                    connection.read();
+                }
+            });
+            for (Thread thread : flood) {
+                thread.join();
+            }
+            calm.close();
+            System.out.println("flood of " + kind + ": " + number + " requests, slowest calm answer " + calm.slowestMs()
+                    + " ms, " + process.peakMemoryBytes() / MIB + " MB");
+            assertTrue(process.isAlive(), process.log());
+            assertEquals(List.of(), calm.unanswered(), process.log());
+            assertTrue(calm.slowestMs() < MAX_CALM_MS, "the slowest calm answer took " + calm.slowestMs() + " ms");
+            assertTrue(process.peakMemoryBytes() < (long) memoryMb * MIB, "memory at the peak");
+            assertEndsBySignalOnly(process);
+        }
+    }
+
     /** Guards against an event loop that ends by an error and lets the process exit as if it had been told to. */
     @Test
     void processThatRunsOutOfMemoryNeverExitsCleanly() throws Exception {
