Account for input that waits for earlier requests

Input of a client that pipelines was kept in the direct buffers it was read into, at their capacity and uncounted. It is copied to the heap at its size and reserved in MemoryBudget, as are the parts of an upload that wait (one method for both).

--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
@@ -88,7 +88,7 @@
         headersFactory = new RequestHeadersFactory(context.memory(), this::reclaimMemory);
         RequestHeadersFactory trailersFactory = new RequestHeadersFactory(context.memory(), this::reclaimMemory);
         decoder = new ClientRequestDecoder(headersFactory, trailersFactory);
-        guard = new ConnectionGuard(channel, decoder);
+        guard = new ConnectionGuard(channel, decoder, context.memory());
         collector = new RequestBodyCollector(guard, context.memory(), headersFactory, trailersFactory, this);
         responses = new ResponseQueue(channel, context.state(), this);
     }
--- a/sidecar/src/main/java/martenlatch/frontend/http/ConnectionGuard.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ConnectionGuard.java
@@ -8,6 +8,8 @@
 import io.netty.channel.socket.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import martenlatch.net.CollectedBytes;
+import martenlatch.net.MemoryBudget;
 
 /**
  * The first handler of a client connection, before the decoder. It enforces time limits on incomplete requests and idle
@@ -50,6 +52,7 @@
     private final SocketChannel channel;
     private final LazyDeadline deadline;
     private final OutputProgress output;
+    private final MemoryBudget memory;
     private final ClientRequestDecoder decoder;
     private final Deque<ByteBuf> bufferedInput = new ArrayDeque<>();
     private int bufferedBytes;
@@ -81,7 +84,8 @@
     private long rateDeficitBytes;
 
     /** Creates the guard of a connection; {@code decoder} is the next handler. */
-    ConnectionGuard(SocketChannel channel, ClientRequestDecoder decoder) {
+    ConnectionGuard(SocketChannel channel, ClientRequestDecoder decoder, MemoryBudget memory) {
+        this.memory = memory;
         this.channel = channel;
         this.decoder = decoder;
         output = new OutputProgress(channel);
@@ -191,8 +195,8 @@
     // ---- buffered input ----
 
     private void buffer(ByteBuf bytes) {
-        bufferedInput.add(bytes);
         bufferedBytes += bytes.readableBytes();
+        bufferedInput.add(CollectedBytes.compact(bytes, memory, MemoryBudget.Use.BUFFERED_INPUT));
         bufferingInput &= bufferedBytes <= MAX_BUFFERED_BYTES;
         if (!bufferingInput) {
             forwardBufferedInput();
--- a/sidecar/src/main/java/martenlatch/frontend/http/RequestBodyCollector.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/RequestBodyCollector.java
@@ -169,20 +169,14 @@
                 return;
             }
             client.onBytesReceived(streamedBytes);
-            streamedBody.offer(copyToHeap(bytes));
+            // The bytes may wait for the endpoint.
+            streamedBody.offer(CollectedBytes.compact(bytes.retain(), memory, Use.REQUEST_BODY));
         }
         if (content instanceof LastHttpContent) {
             onBodyComplete(ctx);
         }
     }
 
-    /** Returns an accounted copy, as the bytes may wait for the endpoint; the bytes themselves if memory is short. */
-    private ByteBuf copyToHeap(ByteBuf bytes) {
-        int length = bytes.readableBytes();
-        CollectedBytes copy = new CollectedBytes(memory, Use.REQUEST_BODY, length, length);
-        return copy.tryAppend(bytes) ? copy.takeBuffer() : bytes.retain();
-    }
-
     private void onBodyComplete(ChannelHandlerContext ctx) {
         // Nothing is read after a request that closes the connection.
         stopped = !keepAlive;
--- a/sidecar/src/main/java/martenlatch/net/CollectedBytes.java
+++ b/sidecar/src/main/java/martenlatch/net/CollectedBytes.java
@@ -34,6 +34,20 @@
         this.expectedBytes = expectedBytes;
     }
 
+    /**
+     * Replaces a buffer, which may be far larger than its content, by an accounted copy. Takes ownership of the buffer;
+     * returns the buffer itself if memory is short.
+     */
+    public static ByteBuf compact(ByteBuf buffer, MemoryBudget memory, Use use) {
+        int length = buffer.readableBytes();
+        CollectedBytes copy = new CollectedBytes(memory, use, length, length);
+        if (!copy.tryAppend(buffer)) {
+            return buffer;
+        }
+        buffer.release();
+        return copy.takeBuffer();
+    }
+
     /** Returns the number of bytes collected so far. */
     public int size() {
         return size;
