Bound by bytes what is read to see whether a client has left

The bound of 2 MiB counted 16 KiB a turn, while a connection that is not paused reads up to 256 KiB in one: a client that sends at full speed could have had the event loop read 32 MiB before an attempt (read, not measured). ConnectionGuard counts the bytes. ClientDisconnectRaceTest, SlowUploadRaceTest.uploadIsNotSent..., ClientConnectionRaceTest and SidecarTest pass.

--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
@@ -25,7 +25,6 @@
 import martenlatch.frontend.http.RequestEvent.CompleteRequest;
 import martenlatch.frontend.http.RequestEvent.InvalidInput;
 import martenlatch.frontend.http.RequestEvent.StreamedRequest;
-import martenlatch.net.Buffers;
 import martenlatch.policy.api.Request;
 import martenlatch.request.RequestTracker.Acceptance;
 import martenlatch.upstream.OutgoingRequest;
@@ -165,10 +164,7 @@
      * only visible after it.
      */
     boolean isClientConnected() {
-        long maxBytesRead = 0;
-        while (guard.readAvailable() && maxBytesRead < MAX_READ_AHEAD_BYTES) {
-            maxBytesRead += Buffers.MAX_READ_BYTES;
-        }
+        guard.readAvailable(MAX_READ_AHEAD_BYTES);
         return channel.isActive();
     }
 
--- a/sidecar/src/main/java/martenlatch/frontend/http/ConnectionGuard.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ConnectionGuard.java
@@ -66,6 +66,8 @@
     private boolean inBody;
     /** Whether all responses are written and no other request has started. */
     private boolean idle;
+    /** The number of bytes read since the connection was accepted. */
+    private long readBytes;
     /** Whether any input was read since this was last reset. */
     private boolean receivedInput;
     /** Whether input is being processed, during which the channel must not be read again. */
@@ -144,10 +146,20 @@
         return receivedInput;
     }
 
+    /** Reads available input as {@link #readAvailable()} does, until there is none or {@code maxBytes} were read. */
+    void readAvailable(long maxBytes) {
+        long endBytes = readBytes + maxBytes;
+        boolean mayHaveMore = readAvailable();
+        while (mayHaveMore && readBytes < endBytes) {
+            mayHaveMore = readAvailable();
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         ByteBuf bytes = (ByteBuf) message;
         receivedInput = true;
+        readBytes += bytes.readableBytes();
         reading = true;
         if (discardingInput) {
             discard(bytes);
--- a/sidecar/src/main/java/martenlatch/net/Buffers.java
+++ b/sidecar/src/main/java/martenlatch/net/Buffers.java
@@ -23,11 +23,9 @@
      */
     public static final int SOCKET_BUFFER_BYTES = 128 * 1024;
 
-    /** The largest number of bytes that are read at once. */
-    public static final int MAX_READ_BYTES = 16 * 1024;
-
     private static final int MIN_READ_BYTES = 64;
     private static final int INITIAL_READ_BYTES = 2048;
+    private static final int MAX_READ_BYTES = 16 * 1024;
 
     private Buffers() {}
 
