--- a/fleet/src/main/java/martenlatch/fleet/history/Event.java
+++ b/fleet/src/main/java/martenlatch/fleet/history/Event.java
@@ -34,6 +34,8 @@
         LIST_CALL,
         /** Discovery has accepted a long poll; the detail is its longest wait in milliseconds. */
         LONG_POLL,
+        /** The connection of a long poll has ended before discovery's answer arrived. */
+        LONG_POLL_ENDED,
         /** An endpoint has started; the detail is how long it stays cold, in milliseconds. */
         ENDPOINT_UP,
         /** The state of a sidecar process has changed, for example to paused, resumed, serving or ended. */
--- a/fleet/src/main/java/martenlatch/fleet/judge/DrainChecker.java
+++ b/fleet/src/main/java/martenlatch/fleet/judge/DrainChecker.java
@@ -18,7 +18,8 @@
  * <p>Otherwise it counts as notified when it would have heard the change by polling as often as its settings require,
  * but at most {@link Rules#NOTIFIED_WITHIN_MS} after discovery had the change and was reachable. This includes a
  * process that started after the change with an older list. If discovery left a long poll unanswered, the sidecar has
- * time until {@link Rules#LONG_POLL_SLACK_MS} after the wait of that poll, if that is later.
+ * time until {@link Rules#LONG_POLL_SLACK_MS} after the wait of that poll, if that is later, unless the poll ended
+ * before. Discovery is reachable while only connections that are open already are silent.
  *
  * <p>A sidecar that is paused at that time counts as notified when it resumes.
  */
@@ -51,6 +52,8 @@
                 servingSinceMs.put(event.who(), event.atMs());
             } else if (event.what() == Event.What.LIST_CALL) {
                 endLongPoll(longPolls.get(event.who()), event.atMs());
+            } else if (event.what() == Event.What.LONG_POLL_ENDED) {
+                longPolls.remove(event.who());
             } else if (event.what() == Event.What.LONG_POLL) {
                 longPolls
                         .computeIfAbsent(event.who(), sidecar -> new ArrayList<>())
@@ -147,12 +150,14 @@
     }
 
     private static boolean isDiscoverySilent(Fault fault, String sidecar) {
-        return fault.what() == Fault.What.SILENT || fault.isOn(sidecar, "discovery");
+        return fault.what() == Fault.What.SILENT
+                || fault.what() != Fault.What.STALL && fault.isOn(sidecar, "discovery");
     }
 
     /** Returns whether a fault keeps this sidecar from hearing discovery: on discovery or on the link to it. */
     private static boolean isUnreachable(Fault fault, String sidecar) {
-        return fault.what().aim() == Fault.Aim.DISCOVERY || fault.isOn(sidecar, "discovery");
+        return fault.what().aim() == Fault.Aim.DISCOVERY
+                || fault.what() != Fault.What.STALL && fault.isOn(sidecar, "discovery");
     }
 
     /**
--- a/fleet/src/main/java/martenlatch/fleet/link/StreamLink.java
+++ b/fleet/src/main/java/martenlatch/fleet/link/StreamLink.java
@@ -189,6 +189,18 @@
         loop.execute(() -> List.copyOf(connections).forEach(RelayedConnection::reset));
     }
 
+    /** Makes the open connections silent in both directions until {@link #resetStalled}; new ones work. */
+    public void stall() {
+        loop.execute(() -> connections.forEach(connection -> connection.stalled = true));
+    }
+
+    /** Resets the connections that have been made silent. */
+    public void resetStalled() {
+        loop.execute(() -> List.copyOf(connections).stream()
+                .filter(connection -> connection.stalled)
+                .forEach(RelayedConnection::reset));
+    }
+
     /** Closes the link and resets all connections. */
     public void close() {
         loop.submit(() -> {
@@ -253,6 +265,8 @@
         private DuplexChannel far;
         private Direction onwards;
         private Direction backwards;
+        /** Whether nothing is forwarded although the link is not silent. */
+        private boolean stalled;
 
         RelayedConnection(DuplexChannel near) {
             this.near = near;
@@ -388,7 +402,7 @@
 
         /** Forwards all parts that are due, unless the link is silent. */
         void forwardDue() {
-            if (model.conditions().silent()) {
+            if (isSilent()) {
                 return;
             }
             double now = now();
@@ -420,7 +434,7 @@
                 loop.schedule(
                         () -> {
                             wakeAtMs = Double.POSITIVE_INFINITY;
-                            if (!model.conditions().silent()) {
+                            if (!isSilent()) {
                                 observer.onLate(now() - dueMs);
                             }
                             forwardDue();
@@ -430,6 +444,10 @@
             }
         }
 
+        private boolean isSilent() {
+            return connection.stalled || model.conditions().silent();
+        }
+
         private void end(boolean isReset) {
             if (!ended) {
                 ended = true;
--- a/fleet/src/main/java/martenlatch/fleet/rig/FleetRun.java
+++ b/fleet/src/main/java/martenlatch/fleet/rig/FleetRun.java
@@ -694,6 +694,10 @@
                     continue;
                 }
                 StreamLink link = from.equals("clients") ? clientLinks.get(number(to)) : links.get(from + " " + to);
+                if (changed.what() == Fault.What.STALL) {
+                    stall(link, active.contains(changed));
+                    continue;
+                }
                 link.setConditions(linkFaults.conduct(from, to, true), linkFaults.conduct(from, to, false));
                 if (broken) {
                     link.reset();
@@ -702,6 +706,14 @@
         }
     }
 
+    private static void stall(StreamLink link, boolean begins) {
+        if (begins) {
+            link.stall();
+        } else {
+            link.resetStalled();
+        }
+    }
+
     /** Terminates all sidecars and waits until they have drained and ended. */
     private void finish() throws InterruptedException {
         faultScheduler.shutdownNow();
--- a/fleet/src/main/java/martenlatch/fleet/scenario/Fault.java
+++ b/fleet/src/main/java/martenlatch/fleet/scenario/Fault.java
@@ -83,7 +83,9 @@
         /** Links treat data as the fault describes. */
         LINK(Aim.LINKS, false),
         /** All connections of the links are reset once. */
-        BREAK(Aim.LINKS, false);
+        BREAK(Aim.LINKS, false),
+        /** The open connections of the links fall silent and are reset in the end; new ones work. */
+        STALL(Aim.LINKS, true);
 
         private final Aim aim;
         private final boolean mustEnd;
--- a/fleet/src/main/java/martenlatch/fleet/sim/SimDiscovery.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimDiscovery.java
@@ -35,11 +35,19 @@
     /** A sidecar's connection to discovery. Polls on it are not answered once it has ended. */
     static final class Connection {
         private final String sidecar;
+        /** The entries that were written while the connection was stalled. */
+        private final List<EndpointList.Entry> undelivered = new ArrayList<>();
+
         private boolean ended;
+        private boolean stalled;
 
         Connection(String sidecar) {
             this.sidecar = sidecar;
         }
+
+        boolean isEnded() {
+            return ended;
+        }
     }
 
     private final History history;
@@ -89,6 +97,9 @@
      * its time, but produces no response.
      */
     void poll(Connection connection, long index, long waitMs, Caller caller) {
+        if (connection.stalled) {
+            return;
+        }
         CallQueue.Turn turn = queue.come(time.elapsed());
         if (turn.atMs() <= time.elapsed()) {
             handleCall(connection, index, waitMs, caller, turn.refused());
@@ -127,6 +138,18 @@
         }
     }
 
+    /** Keeps calls and answers on a connection from arriving, until {@link #reset}. */
+    void stall(Connection connection) {
+        connection.stalled = true;
+    }
+
+    /** Ends a stalled connection. What was written to it counts as written when the silence is over. */
+    void reset(Connection connection) {
+        history.record(What.LONG_POLL_ENDED, connection.sidecar, "discovery", "", "reset");
+        connection.undelivered.forEach(entry -> recordTold(connection, entry));
+        end(connection);
+    }
+
     /** Marks a connection as ended and drops its open polls. */
     void end(Connection connection) {
         connection.ended = true;
@@ -136,32 +159,41 @@
     private void answer(Watch watch) {
         switch (manner) {
             case SILENT -> {}
-            case DOWN, WRONG -> watch.caller().onRejected();
+            case DOWN, WRONG -> reject(watch);
             default -> write(watch, list(watch.index()), 1);
         }
     }
 
+    private void reject(Watch watch) {
+        if (!watch.connection().stalled) {
+            history.record(What.LONG_POLL_ENDED, watch.connection().sidecar, "discovery", "", "rejected");
+            watch.caller().onRejected();
+        }
+    }
+
     /** Writes a piece of a response, and the next ones until the response is complete or its connection has ended. */
     private void write(Watch watch, EndpointList list, int piece) {
         if (watch.connection().ended) {
             return;
         }
+        if (watch.connection().stalled) {
+            watch.connection().undelivered.addAll(list.entries());
+            return;
+        }
         if (responseMs > 0 && piece < RESPONSE_PIECES) {
             watch.caller().onPiece();
             time.after(responseMs / (RESPONSE_PIECES - 1), () -> write(watch, list, piece + 1));
             return;
         }
-        for (EndpointList.Entry entry : list.entries()) {
-            history.record(
-                    What.TOLD,
-                    watch.connection().sidecar,
-                    entry.endpoint().id(),
-                    "",
-                    stateName(entry.endpoint().status()));
-        }
+        list.entries().forEach(entry -> recordTold(watch.connection(), entry));
         watch.caller().onList(list);
     }
 
+    private void recordTold(Connection connection, EndpointList.Entry entry) {
+        Endpoint endpoint = entry.endpoint();
+        history.record(What.TOLD, connection.sidecar, endpoint.id(), "", stateName(endpoint.status()));
+    }
+
     private static String stateName(EndpointStatus state) {
         return switch (state) {
             case READY -> "in_service";
--- a/fleet/src/main/java/martenlatch/fleet/sim/SimRun.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimRun.java
@@ -484,6 +484,10 @@
             }
             // Links between sidecars carry no messages in this simulation.
             SimSidecar one = sidecars.get(number(from));
+            if (changed.what() == Fault.What.STALL) {
+                stallDiscovery(changed, one);
+                continue;
+            }
             one.onConditionsChanged();
             if (changed.what() == Fault.What.BREAK) {
                 changed.to().forEach(one::closeIdleConnections);
@@ -491,6 +495,18 @@
         }
     }
 
+    /** Connections to endpoints do not stall in this simulation. */
+    private void stallDiscovery(Fault changed, SimSidecar one) {
+        if (!changed.to().contains(Group.DISCOVERY.name(0))) {
+            return;
+        }
+        if (active.contains(changed)) {
+            one.stallDiscovery();
+        } else {
+            one.resetStalledConnections();
+        }
+    }
+
     private void clientLink(int number) {
         String name = Group.SIDECAR.name(number);
         toSidecars[number].setConditions(linkFaults.conduct("clients", name, true));
--- a/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
@@ -2,6 +2,7 @@
 
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.net.SocketException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -94,6 +95,11 @@
     /** This process's open connections to discovery. */
     private final List<SimDiscovery.Connection> connections = new ArrayList<>();
 
+    /** The polls on connections to discovery, by connection; each is the last one that was sent there. */
+    private final Map<SimDiscovery.Connection, Long> pollsByConnection = new HashMap<>();
+
+    private final List<SimDiscovery.Connection> stalledConnections = new ArrayList<>();
+
     private RequestTracker requestTracker;
     private boolean paused;
     private boolean alive;
@@ -442,6 +448,7 @@
 
         private void end(SimDiscovery.Connection ended) {
             connections.remove(ended);
+            pollsByConnection.remove(ended);
             toDiscovery.send(() -> discovery.end(ended));
         }
 
@@ -450,7 +457,11 @@
             int expectedStart = startCount;
             long index = poll.knownVersion().orElse(-1);
             long wait = poll.timing().waitMs();
+            if (connection.isEnded()) {
+                connection = open();
+            }
             SimDiscovery.Connection present = connection;
+            pollsByConnection.put(present, poll.number());
             toDiscovery.send(() -> discovery.poll(present, index, wait, new SimDiscovery.Caller() {
                 @Override
                 public void onPiece() {
@@ -505,6 +516,28 @@
         }
     }
 
+    /** Makes the open connections to discovery fall silent. */
+    void stallDiscovery() {
+        connections.forEach(discovery::stall);
+        stalledConnections.addAll(connections);
+    }
+
+    /** Resets the connections to discovery that have fallen silent. */
+    void resetStalledConnections() {
+        List<SimDiscovery.Connection> reset = List.copyOf(stalledConnections);
+        stalledConnections.clear();
+        int expectedStart = startCount;
+        for (SimDiscovery.Connection connection : reset) {
+            Long poll = pollsByConnection.remove(connection);
+            if (connections.remove(connection)) {
+                discovery.reset(connection);
+                if (poll != null) {
+                    runInProcess(expectedStart, () -> watch.onFailure(poll, new SocketException("Connection reset")));
+                }
+            }
+        }
+    }
+
     /** Called when link conditions change; updates all of this sidecar's links. */
     void onConditionsChanged() {
         LinkPair now = linkConditions.apply(Group.DISCOVERY.name(0));
--- a/fleet/src/test/java/martenlatch/fleet/sim/EndpointListAgeSimTest.java
+++ b/fleet/src/test/java/martenlatch/fleet/sim/EndpointListAgeSimTest.java
@@ -85,6 +85,18 @@
 
     /** Drains at random times, and at most {@code count} other faults of the kinds that delay lists. */
     private static String plan(int seed, int count, boolean withSilence) {
+        return text(seed, faults(seed, count, withSilence));
+    }
+
+    private static String text(int seed, List<PlannedFault> faults) {
+        return FLEET.formatted(seed, 40)
+                + faults.stream()
+                        .sorted(Comparator.comparingDouble(PlannedFault::at))
+                        .map(PlannedFault::text)
+                        .collect(Collectors.joining());
+    }
+
+    private static List<PlannedFault> faults(int seed, int count, boolean withSilence) {
         SplittableRandom random = new SplittableRandom(seed);
         List<PlannedFault> faults = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
@@ -105,9 +117,7 @@
                 default -> faults.add(withSilence ? silence(random, at, lasts) : fault(at, lasts, "down", ""));
             }
         }
-        faults.sort(Comparator.comparingDouble(PlannedFault::at));
-        return FLEET.formatted(seed, 40)
-                + faults.stream().map(PlannedFault::text).collect(Collectors.joining());
+        return faults;
     }
 
     private static Scenario scenario(String text) {
@@ -146,6 +156,36 @@
         assertEquals(List.of(), attemptsAfterNotification(faults, true));
     }
 
+    /**
+     * Open watches fall silent while discovery answers new connections, and are reset within their wait, also later
+     * than the changes that they miss count as notified (incident 94dd5d).
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 5})
+    void stalledWatchesLeaveNoChangeUnknownForTooLong(int faults) {
+        List<String> found = new ArrayList<>();
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            found.addAll(attemptsAfterNotification("plan " + seed, scenario(stallPlan(seed, faults))));
+        }
+        assertEquals(List.of(), found);
+    }
+
+    /** A plan as above, in which all or some of the open watches stall for 2 to 14 s, some of them twice in a row. */
+    private static String stallPlan(int seed, int count) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<PlannedFault> faults = new ArrayList<>(faults(seed, count, random.nextBoolean()));
+        double at = 2 + 8 * random.nextDouble();
+        double lasts = 2 + 12 * random.nextDouble();
+        String from = random.nextBoolean() ? "sidecars" : "sidecars random 0.5";
+        String link = "from = \"" + from + "\"\nto = \"discovery\"";
+        faults.add(fault(at, lasts, "stall", link));
+        if (random.nextBoolean()) {
+            double again = at + lasts + 0.1 + random.nextDouble();
+            faults.add(fault(again, 2 + 4 * random.nextDouble(), "stall", link));
+        }
+        return text(seed, faults).replace("seconds = 20", "seconds = 26");
+    }
+
     /** Moves of the whole fleet in a row, so soon after another that no poll is answered between two of them. */
     @ParameterizedTest
     @CsvSource({"100, 40, 0.5", "150, 60, 0.7", "150, 60, 1.2"})
--- a/sidecar/src/test/java/martenlatch/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SidecarFixture.java
@@ -34,6 +34,8 @@
     int idleCloseMs = 15_000;
     int pollIntervalMs = 600_000;
     int sockets = 1024;
+    /** The number of sidecars of the tier in the settings. */
+    int balancers = 1;
     /** The memory limit in the configuration, in megabytes. */
     int memoryMb = 192;
 
@@ -131,7 +133,7 @@
         return """
             {"name":"n0","listen":"%s",%s"discovery":"%s","seed":"8c1f30d27a5be964",
             "limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"known":%s,
-            "settings":{"azs":["a"],"models":["m"],"replicas-of-me":1,"slot-no":0,"tier":0,"zone":0,
+            "settings":{"azs":["a"],"models":["m"],"replicas-of-me":%d,"slot-no":0,"tier":0,"zone":0,
             "membership-mode":"%s","classes":[
             {"name":"read","effect":"repeatable","group":"all","hard-limit-ms":%d,"slo-ms":%d,"worth":1},
             {"name":"order","effect":"once","group":"all","hard-limit-ms":%d,"slo-ms":%d,"worth":1},
@@ -151,6 +153,7 @@
                         memoryMb,
                         sockets,
                         list(1, true, entries.toArray(String[]::new)),
+                        balancers,
                         membership,
                         classDeadlineMs,
                         latencyObjectiveMs,
