Delay the poll after a watch has ended by what the list's age leaves of the 6 s

Callers saw requests at draining endpoints for up to 3 s after a silent watch had been reset, although discovery would have answered at once. Cause: EndpointListPolling took the duration of the failed poll for the age of the list and, where nothing was left of the 6 s, returned the longest delay of all: the older the list, the later the next poll.

Change: EndpointListAge owns the time at which discovery last confirmed the list; each failure and move reports the age, and the delay is what the age and the next poll leave, also after a move. Nothing left: at once, or within 10 ms for each balancer, 250 ms at most. A lost connection is replaced within 25 ms for each balancer, doubling with each loss. PollFailure tells lost connections apart and is part of policy.api.

--- a/sidecar/src/main/java/martenlatch/discovery/DiscoveryConnection.java
+++ b/sidecar/src/main/java/martenlatch/discovery/DiscoveryConnection.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import martenlatch.net.Buffers;
@@ -213,7 +214,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (ctx.channel() == channel) {
-                onConnectionEnded("the connection ended");
+                onConnectionEnded(new EOFException("the connection ended"));
             }
         }
 
--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListGate.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListGate.java
@@ -1,8 +1,8 @@
 package martenlatch.discovery;
 
 import martenlatch.policy.api.BalancerSettings;
+import martenlatch.policy.api.PollFailure;
 import martenlatch.request.EndpointList;
-import martenlatch.request.PollFailure;
 import martenlatch.request.Scheduler;
 
 /**
@@ -120,8 +120,8 @@
             }
 
             @Override
-            public void onPollFailed(PollFailure failure) {
-                next.onPollFailed(failure);
+            public void onPollFailed(PollFailure failure, double listAgeMs) {
+                next.onPollFailed(failure, listAgeMs);
                 unreachable = failure == PollFailure.UNREACHABLE;
                 if (unreachable && pollsEndpointList) {
                     open(Reason.DISCOVERY_UNREACHABLE);
@@ -129,8 +129,8 @@
             }
 
             @Override
-            public void onDiscoveryMoved() {
-                next.onDiscoveryMoved();
+            public void onDiscoveryMoved(double listAgeMs) {
+                next.onDiscoveryMoved(listAgeMs);
             }
         };
     }
--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
@@ -1,12 +1,14 @@
 package martenlatch.discovery;
 
+import java.io.IOException;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
+import martenlatch.policy.EndpointListAge;
+import martenlatch.policy.api.PollFailure;
 import martenlatch.request.EndpointList;
-import martenlatch.request.PollFailure;
 import martenlatch.request.RateLimitedLogger;
 import martenlatch.request.Scheduler;
 
@@ -38,6 +40,7 @@
     private final RateLimitedLogger logger;
     private final PollLog pollLog;
     private final Supplier<PollTiming> timing;
+    private final EndpointListAge age = new EndpointListAge();
     private EndpointList.Listener listener;
     /** The last version received from discovery at the current address; if empty, the whole list is requested. */
     private OptionalLong knownVersion = OptionalLong.empty();
@@ -116,7 +119,7 @@
             endSuperseded(superseded.getFirst());
         }
         pollLog.onMoved();
-        listener.onDiscoveryMoved();
+        listener.onDiscoveryMoved(age.ageMs(scheduler.now()));
     }
 
     /** Called when bytes of a response arrive. */
@@ -146,6 +149,9 @@
         hasReceivedList = true;
         boolean isOutdated = answered.isOutdated(list.version());
         endUpTo(answered);
+        if (!isOutdated) {
+            age.onConfirmed(scheduler.now() - answered.responseMs());
+        }
         if (answered.addressNumber() == addressNumber) {
             onListFromCurrentAddress(answered.poll(), list.version(), isOutdated);
         }
@@ -206,8 +212,16 @@
 
     private void reportFailure(Object cause) {
         lastResponseStalled = false;
-        logger.log("discovery failed", cause);
-        listener.onPollFailed(cause instanceof ConnectException ? PollFailure.UNREACHABLE : PollFailure.REJECTED);
+        double listAgeMs = age.ageMs(scheduler.now());
+        logger.log("discovery failed", cause + ", list confirmed " + Math.round(listAgeMs) + " ms ago");
+        listener.onPollFailed(failureOf(cause), listAgeMs);
+    }
+
+    private static PollFailure failureOf(Object cause) {
+        if (cause instanceof ConnectException) {
+            return PollFailure.UNREACHABLE;
+        }
+        return cause instanceof IOException ? PollFailure.CONNECTION_LOST : PollFailure.REJECTED;
     }
 
     /**
--- a/sidecar/src/main/java/martenlatch/policy/EndpointListPolling.java
+++ b/sidecar/src/main/java/martenlatch/policy/EndpointListPolling.java
@@ -2,22 +2,18 @@
 
 import java.util.SplittableRandom;
 import martenlatch.policy.api.BalancerSettings;
+import martenlatch.policy.api.PollFailure;
 
 /**
- * Decides when discovery is polled. Balancers must know a change within {@link #MAX_LIST_AGE_MS} after discovery has it
- * and is reachable. If a poll fails, discovery may have become reachable just after the poll was sent. Therefore the
- * duration of the failed poll, the delay after it and the duration of the next poll share this budget. Delays are
- * random so that balancers that start, fail or move together do not poll together; a poll that fails early leaves more
- * time to spread the next ones.
+ * Decides when discovery is polled while no watch is open. Balancers must know a change within
+ * {@link EndpointListAge#MAX_LIST_AGE_MS} after discovery has it and is reachable. The age of the list at the end of a
+ * watch, the delay after it and the duration of the next poll share this budget. If a poll fails, discovery may have
+ * become reachable just after the poll was sent, so the budget counts from then on. Delays are random so that balancers
+ * that start, fail or move together do not poll together; what is left of the budget bounds them.
  */
 final class EndpointListPolling {
 
-    /** The longest time until a change is known, once discovery has it and is reachable. */
-    private static final double MAX_LIST_AGE_MS = 6000;
-
-    private static final double POLL_DURATION_MS = 2000; // the time within which discovery answers or rejects a poll
-    private static final double MIN_DELAY_MS = 1000; // lower bound on the longest delay after a failure
-    private static final double MAX_DELAY_MS = 3000; // upper bound on the longest delay
+    private static final double MAX_DELAY_MS = 3000;
     /** Shorter, because a new process serves no request until its list is current. */
     private static final double MAX_START_DELAY_MS = 2000;
     /** Longest delay after the first failure, in poll intervals. */
@@ -25,6 +21,20 @@
 
     private static final int MAX_FAILURE_INTERVALS = 3; // longest delay after many failures, in poll intervals
 
+    /** A poll that fails later than this was an open watch, as discovery answers or rejects all others before. */
+    private static final double MAX_POLL_DURATION_MS =
+            EndpointListAge.MAX_LIST_AGE_MS - EndpointListAge.POLL_DURATION_MS;
+
+    /** The time over which balancers spread their polls if their connections have ended together, for each balancer. */
+    private static final double RECONNECT_SPREAD_PER_BALANCER_MS = 25;
+
+    private static final double MIN_RECONNECT_SPREAD_MS = 100;
+    private static final int MAX_RECONNECT_DOUBLINGS = 5;
+    /** The same if their lists are overdue, so that it has to fit into the grace of a drain. */
+    private static final double OVERDUE_SPREAD_PER_BALANCER_MS = 10;
+
+    private static final double MAX_OVERDUE_SPREAD_MS = 250;
+
     private final SplittableRandom random;
     /** The time when the last poll was sent. */
     private double polledAtMs = Double.NEGATIVE_INFINITY;
@@ -63,7 +73,8 @@
      * the list is as old as its response took, and the next response may take as long.
      */
     double delayAfterFirstList(double nowMs, double listAgeMs, BalancerSettings settings) {
-        double remainingMs = Math.max(0, MAX_LIST_AGE_MS - listAgeMs - Math.max(POLL_DURATION_MS, listAgeMs));
+        double nextResponseMs = Math.max(EndpointListAge.POLL_DURATION_MS, listAgeMs);
+        double remainingMs = Math.max(0, EndpointListAge.MAX_LIST_AGE_MS - listAgeMs - nextResponseMs);
         double withinMs =
                 Math.min(remainingMs, Math.min(MAX_DELAY_MS, settings.rules().pollIntervalMs() / 2));
         double delayMs = withinMs * (1 + random.nextDouble()) / 2;
@@ -71,21 +82,33 @@
         return Math.max(0, dueAtMs - nowMs);
     }
 
-    /** Called when a poll has failed or a watch has ended; returns the delay of the next poll. */
-    double delayAfterFailure(double nowMs, BalancerSettings settings) {
-        double intervals = Math.min(Math.max(FIRST_FAILURE_INTERVALS, failures++), MAX_FAILURE_INTERVALS);
+    /**
+     * Called when a poll has failed or a watch has ended; returns the delay of the next poll.
+     *
+     * @param listAgeMs the time since discovery last confirmed the list, in milliseconds; 0 if it never did
+     */
+    double delayAfterFailure(double nowMs, PollFailure failure, double listAgeMs, BalancerSettings settings) {
+        boolean isFirst = failures == 0;
+        double intervals = Math.min(Math.max(FIRST_FAILURE_INTERVALS, failures), MAX_FAILURE_INTERVALS);
         double allowedMs = intervals * settings.rules().pollIntervalMs();
-        return schedule(nowMs, Math.min(allowedMs, maxDelayAfterFailureMs(nowMs - polledAtMs)));
+        double withinMs = Math.min(allowedMs, maxDelayAfterFailureMs(nowMs - polledAtMs, isFirst, listAgeMs, settings));
+        if (failure == PollFailure.CONNECTION_LOST) {
+            withinMs = Math.min(withinMs, reconnectSpreadMs(settings));
+        }
+        failures++;
+        return schedule(nowMs, withinMs);
     }
 
     /**
      * Called when the address of discovery changes. Returns the delay of the first poll there; a poll that is already
      * due earlier is not postponed.
+     *
+     * @param listAgeMs as in {@link #delayAfterFailure}
      */
-    double delayAfterMove(double nowMs, BalancerSettings settings) {
+    double delayAfterMove(double nowMs, double listAgeMs, BalancerSettings settings) {
         hasMoved = true;
         double allowedMs = Math.min(MAX_DELAY_MS, settings.rules().pollIntervalMs() / 2);
-        return schedule(nowMs, spreadOverFleet(settings, allowedMs));
+        return schedule(nowMs, spreadOverFleet(settings, Math.min(allowedMs, maxDelayAtAgeMs(listAgeMs, settings))));
     }
 
     /** Returns whether a poll is due, and marks it as sent; a leftover timer of an earlier poll finds none due. */
@@ -106,15 +129,30 @@
         return Math.max(0, dueAtMs - nowMs);
     }
 
-    /** Returns the part of the budget that the failed poll and the next poll leave for the delay between them. */
-    private static double maxDelayAfterFailureMs(double failedAfterMs) {
-        double remainingMs = MAX_LIST_AGE_MS - failedAfterMs - POLL_DURATION_MS;
-        if (remainingMs < 0) {
-            // Either a long-open watch ended, as those of a whole fleet do together when discovery goes down, or the
-            // poll failed so late that no delay is short enough.
-            return MAX_DELAY_MS;
-        }
-        return Math.max(MIN_DELAY_MS, Math.min(MAX_DELAY_MS, remainingMs));
+    /**
+     * Returns the part of the budget that the next poll leaves for the delay before it. After the first failure since
+     * the last list, the budget counts from that list on; after further ones from the failed poll on, because
+     * discovery may have been unreachable until then. The failure of an open watch does not show that it was.
+     */
+    private static double maxDelayAfterFailureMs(
+            double failedAfterMs, boolean isFirst, double listAgeMs, BalancerSettings settings) {
+        boolean wasOpenWatch = failedAfterMs > MAX_POLL_DURATION_MS;
+        double unconfirmedMs = wasOpenWatch ? listAgeMs : isFirst ? Math.max(failedAfterMs, listAgeMs) : failedAfterMs;
+        return Math.min(MAX_DELAY_MS, maxDelayAtAgeMs(unconfirmedMs, settings));
+    }
+
+    /** Returns what is left of the budget, or a short time in which a fleet with overdue lists spreads its polls. */
+    private static double maxDelayAtAgeMs(double unconfirmedMs, BalancerSettings settings) {
+        double overdueSpreadMs =
+                Math.min(MAX_OVERDUE_SPREAD_MS, OVERDUE_SPREAD_PER_BALANCER_MS * (settings.balancerCount() - 1));
+        return Math.max(overdueSpreadMs, EndpointListAge.remainingDelayMs(unconfirmedMs));
+    }
+
+    /** Returns the longest delay after the loss of a connection, which doubles with each failure. */
+    private double reconnectSpreadMs(BalancerSettings settings) {
+        double spreadMs =
+                Math.max(MIN_RECONNECT_SPREAD_MS, RECONNECT_SPREAD_PER_BALANCER_MS * settings.balancerCount());
+        return Math.min(MAX_DELAY_MS, Math.scalb(spreadMs, Math.min(failures, MAX_RECONNECT_DOUBLINGS)));
     }
 
     /** Scales a delay by the number of balancers; a single balancer need not spread its polls. */
--- a/sidecar/src/main/java/martenlatch/policy/LoadBalancer.java
+++ b/sidecar/src/main/java/martenlatch/policy/LoadBalancer.java
@@ -233,7 +233,7 @@
     @Override
     public void onEndpointList(double nowMs, EndpointListKind kind, List<Endpoint> entries) {
         if (kind == EndpointListKind.FAILED) {
-            actions.scheduleTimer(polling.delayAfterFailure(nowMs, state.settings), POLL_TIMER);
+            onPollFailed(nowMs, PollFailure.REJECTED, 0);
             return;
         }
         if (kind != EndpointListKind.CACHED) {
@@ -249,8 +249,13 @@
     }
 
     @Override
-    public void onDiscoveryMoved(double nowMs) {
-        actions.scheduleTimer(polling.delayAfterMove(nowMs, state.settings), POLL_TIMER);
+    public void onPollFailed(double nowMs, PollFailure failure, double listAgeMs) {
+        actions.scheduleTimer(polling.delayAfterFailure(nowMs, failure, listAgeMs, state.settings), POLL_TIMER);
+    }
+
+    @Override
+    public void onDiscoveryMoved(double nowMs, double listAgeMs) {
+        actions.scheduleTimer(polling.delayAfterMove(nowMs, listAgeMs, state.settings), POLL_TIMER);
     }
 
     @Override
--- a/sidecar/src/main/java/martenlatch/policy/api/BalancerEvents.java
+++ b/sidecar/src/main/java/martenlatch/policy/api/BalancerEvents.java
@@ -9,11 +9,25 @@
  */
 public interface BalancerEvents {
 
-    /** Called when discovery has sent a list or changes to it, or when a poll has failed or a watch has ended. */
+    /**
+     * Called when discovery has sent a list or changes to it. {@link EndpointListKind#FAILED} reports a poll that has
+     * failed, or a watch that has ended, at once, so that no change has been missed before.
+     */
     void onEndpointList(double nowMs, EndpointListKind kind, List<Endpoint> entries);
 
-    /** Called when the address of discovery changes: the previous watch is closed, the new address not polled yet. */
-    void onDiscoveryMoved(double nowMs);
+    /**
+     * Called when a poll has failed or a watch has ended, so that the next poll must be scheduled.
+     *
+     * @param listAgeMs the time since discovery last confirmed the list, in milliseconds; 0 if it never did
+     */
+    void onPollFailed(double nowMs, PollFailure failure, double listAgeMs);
+
+    /**
+     * Called when the address of discovery changes: the new address is not polled yet.
+     *
+     * @param listAgeMs as in {@link #onPollFailed}
+     */
+    void onDiscoveryMoved(double nowMs, double listAgeMs);
 
     /**
      * Called when a list has arrived and no watch is open, so that a poll must be scheduled to open one.
--- a/sidecar/src/main/java/martenlatch/request/PollFailure.java
+++ b/sidecar/src/main/java/martenlatch/policy/api/PollFailure.java
@@ -1,9 +1,11 @@
-package martenlatch.request;
+package martenlatch.policy.api;
 
 /** The reason why a poll of discovery failed. */
 public enum PollFailure {
     /** No connection to discovery could be established. */
     UNREACHABLE,
-    /** Discovery rejected the poll, did not respond in time, or closed the connection. */
-    REJECTED
+    /** Discovery rejected the poll, did not respond in time, or sent no endpoint list. */
+    REJECTED,
+    /** The connection ended before the response, which says nothing about discovery itself. */
+    CONNECTION_LOST
 }
--- a/sidecar/src/main/java/martenlatch/request/EndpointList.java
+++ b/sidecar/src/main/java/martenlatch/request/EndpointList.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import martenlatch.policy.api.Endpoint;
+import martenlatch.policy.api.PollFailure;
 
 /**
  * The whole list of endpoints, or changes to it.
@@ -36,11 +37,19 @@
          */
         void onPollCompleted(double listAgeMs);
 
-        /** Called when a poll fails; the listener has to start the next poll. */
-        void onPollFailed(PollFailure failure);
+        /**
+         * Called when a poll fails; the listener has to start the next poll.
+         *
+         * @param listAgeMs the time since discovery last confirmed the list, in milliseconds; 0 if it never did
+         */
+        void onPollFailed(PollFailure failure, double listAgeMs);
 
-        /** Called when discovery has moved to another address; the listener has to start polling there. */
-        void onDiscoveryMoved();
+        /**
+         * Called when discovery has moved to another address; the listener has to start polling there.
+         *
+         * @param listAgeMs as in {@link #onPollFailed}
+         */
+        void onDiscoveryMoved(double listAgeMs);
     }
 
     /** Returns the endpoints without their addresses, for the load balancer. */
--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -14,6 +14,7 @@
 import martenlatch.policy.api.EndpointListKind;
 import martenlatch.policy.api.LoadReport;
 import martenlatch.policy.api.OverloadReport;
+import martenlatch.policy.api.PollFailure;
 import martenlatch.policy.api.Request;
 import martenlatch.policy.api.RequestClass;
 import martenlatch.request.RequestObserver.Conclusion;
@@ -368,9 +369,9 @@
     }
 
     @Override
-    public void onPollFailed(PollFailure failure) {
+    public void onPollFailed(PollFailure failure, double listAgeMs) {
         if (settings.pollsEndpointList()) {
-            events.enqueue(now -> balancer.onEndpointList(now, EndpointListKind.FAILED, List.of()));
+            events.enqueue(now -> balancer.onPollFailed(now, failure, listAgeMs));
         } else {
             scheduler.after(PUSHED_LIST_RETRY_MS, pollEndpointList);
         }
@@ -386,9 +387,9 @@
     }
 
     @Override
-    public void onDiscoveryMoved() {
+    public void onDiscoveryMoved(double listAgeMs) {
         if (settings.pollsEndpointList()) {
-            events.enqueue(balancer::onDiscoveryMoved);
+            events.enqueue(now -> balancer.onDiscoveryMoved(now, listAgeMs));
         } else {
             pollEndpointList.run();
         }
--- a/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
@@ -16,9 +16,9 @@
 import martenlatch.frontend.http.Frontend;
 import martenlatch.net.EventLoopScheduler;
 import martenlatch.net.MemoryBudget;
+import martenlatch.policy.api.PollFailure;
 import martenlatch.request.EndpointList;
 import martenlatch.request.ExecutionHistory;
-import martenlatch.request.PollFailure;
 import martenlatch.request.RateLimitedLogger;
 import martenlatch.request.RequestObserver;
 import martenlatch.request.RequestTracker;
@@ -191,13 +191,13 @@
         }
 
         @Override
-        public void onPollFailed(PollFailure failure) {
-            requestTracker.onPollFailed(failure);
+        public void onPollFailed(PollFailure failure, double listAgeMs) {
+            requestTracker.onPollFailed(failure, listAgeMs);
         }
 
         @Override
-        public void onDiscoveryMoved() {
-            requestTracker.onDiscoveryMoved();
+        public void onDiscoveryMoved(double listAgeMs) {
+            requestTracker.onDiscoveryMoved(listAgeMs);
         }
     }
 }
