Confirm the endpoint list beside an open watch that says nothing

Callers saw requests at draining endpoints for as long as a silent watch was trusted: until its wait was over and 1 s, 11 to 21 s. Cause: an open watch counted as proof that the list is current.

Change: ConfirmationSchedule (policy) has discovery confirm the list by a poll that is answered at once, on a connection of its own, 3 to 4 s after the last response; the poll that follows has the other 2 of the 6 s. What it brings is applied; a watch that has not brought it 1 s later is sent anew. Without a response after 0.75 s, where discovery was prompt before, a second one is sent beside it. Rejections and responses after 0.75 s halve the rate (AIMD), responses within 0.25 s raise it, fleets over 50 start lower. Lists composed before one that has arrived are ignored. PollFailure.NO_RESPONSE tells silence from rejection. In the simulation what was written to a connection that is reset has not arrived, so that the change counts 6 s after it was made and no longer from the reset on.

--- a/extproc/src/main/java/martenlatch/extproc/ExtProcServer.java
+++ b/extproc/src/main/java/martenlatch/extproc/ExtProcServer.java
@@ -24,6 +24,7 @@
 import martenlatch.frontend.extproc.ExtProcSettings;
 import martenlatch.frontend.extproc.Processor;
 import martenlatch.net.EventLoopScheduler;
+import martenlatch.policy.ConfirmationSchedule;
 import martenlatch.policy.api.RequestClass;
 import martenlatch.request.RateLimitedLogger;
 import martenlatch.request.RequestObserver;
@@ -102,6 +103,7 @@
                 config.discovery(),
                 config.names(),
                 logger,
+                new ConfirmationSchedule(config.settings().balancerCount(), random.split()),
                 () -> PollTiming.next(config.settings(), random));
         requestTracker = new RequestTracker(
                 scheduler,
--- a/fleet/src/main/java/martenlatch/fleet/sim/SimDiscovery.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimDiscovery.java
@@ -35,9 +35,6 @@
     /** A sidecar's connection to discovery. Polls on it are not answered once it has ended. */
     static final class Connection {
         private final String sidecar;
-        /** The entries that were written while the connection was stalled. */
-        private final List<EndpointList.Entry> undelivered = new ArrayList<>();
-
         private boolean ended;
         private boolean stalled;
 
@@ -143,10 +140,9 @@
         connection.stalled = true;
     }
 
-    /** Ends a stalled connection. What was written to it counts as written when the silence is over. */
+    /** Ends a stalled connection; what was written to it has not arrived. */
     void reset(Connection connection) {
         history.record(What.LONG_POLL_ENDED, connection.sidecar, "discovery", "", "reset");
-        connection.undelivered.forEach(entry -> recordTold(connection, entry));
         end(connection);
     }
 
@@ -173,11 +169,7 @@
 
     /** Writes a piece of a response, and the next ones until the response is complete or its connection has ended. */
     private void write(Watch watch, EndpointList list, int piece) {
-        if (watch.connection().ended) {
-            return;
-        }
-        if (watch.connection().stalled) {
-            watch.connection().undelivered.addAll(list.entries());
+        if (watch.connection().ended || watch.connection().stalled) {
             return;
         }
         if (responseMs > 0 && piece < RESPONSE_PIECES) {
@@ -185,15 +177,17 @@
             time.after(responseMs / (RESPONSE_PIECES - 1), () -> write(watch, list, piece + 1));
             return;
         }
-        list.entries().forEach(entry -> recordTold(watch.connection(), entry));
+        for (EndpointList.Entry entry : list.entries()) {
+            history.record(
+                    What.TOLD,
+                    watch.connection().sidecar,
+                    entry.endpoint().id(),
+                    "",
+                    stateName(entry.endpoint().status()));
+        }
         watch.caller().onList(list);
     }
 
-    private void recordTold(Connection connection, EndpointList.Entry entry) {
-        Endpoint endpoint = entry.endpoint();
-        history.record(What.TOLD, connection.sidecar, endpoint.id(), "", stateName(endpoint.status()));
-    }
-
     private static String stateName(EndpointStatus state) {
         return switch (state) {
             case READY -> "in_service";
--- a/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
@@ -21,6 +21,7 @@
 import martenlatch.fleet.link.LinkConditions;
 import martenlatch.fleet.scenario.ListService;
 import martenlatch.fleet.scenario.Selector.Group;
+import martenlatch.policy.ConfirmationSchedule;
 import martenlatch.policy.api.AttemptOutcome;
 import martenlatch.policy.api.BalancerSettings;
 import martenlatch.policy.api.Request;
@@ -172,7 +173,11 @@
         RateLimitedLogger rateLimitedLogger =
                 new RateLimitedLogger(time, new PrintStream(OutputStream.nullOutputStream()));
         watch = new EndpointListWatcher(
-                own, new SimDiscoveryTransport(), rateLimitedLogger, () -> PollTiming.next(settings, pollTimingRandom));
+                own,
+                new SimDiscoveryTransport(),
+                rateLimitedLogger,
+                new ConfirmationSchedule(settings.balancerCount(), pollTimingRandom.split()),
+                () -> PollTiming.next(settings, pollTimingRandom));
         EndpointListGate gate = new EndpointListGate(own, settings, EndpointListGate.DEFAULT_MAX_WAIT_MS, reason -> {
             if (!serving) {
                 serve();
@@ -454,13 +459,23 @@
 
         @Override
         public void send(Poll poll) {
-            int expectedStart = startCount;
-            long index = poll.knownVersion().orElse(-1);
-            long wait = poll.timing().waitMs();
             if (connection.isEnded()) {
                 connection = open();
             }
-            SimDiscovery.Connection present = connection;
+            send(poll, connection);
+        }
+
+        @Override
+        public void sendBeside(Poll poll) {
+            SimDiscovery.Connection own = open();
+            superseded.put(poll.number(), own);
+            send(poll, own);
+        }
+
+        private void send(Poll poll, SimDiscovery.Connection present) {
+            int expectedStart = startCount;
+            long index = poll.knownVersion().orElse(-1);
+            long wait = poll.timing().waitMs();
             pollsByConnection.put(present, poll.number());
             toDiscovery.send(() -> discovery.poll(present, index, wait, new SimDiscovery.Caller() {
                 @Override
--- a/fleet/src/test/java/martenlatch/fleet/sim/EndpointListAgeSimTest.java
+++ b/fleet/src/test/java/martenlatch/fleet/sim/EndpointListAgeSimTest.java
@@ -161,13 +161,24 @@
      * than the changes that they miss count as notified (incident 94dd5d).
      */
     @ParameterizedTest
-    @ValueSource(ints = {0, 1, 2, 5})
+    @ValueSource(ints = {0, 1})
     void stalledWatchesLeaveNoChangeUnknownForTooLong(int faults) {
+        assertEquals(List.of(), attemptsAfterStall(faults));
+    }
+
+    /** The same together with several other faults, among them moves and processes that never had a list. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 5})
+    void stallsAmongOtherFaultsLeaveNoChangeUnknownForTooLong(int faults) {
+        assertEquals(List.of(), attemptsAfterStall(faults));
+    }
+
+    private static List<String> attemptsAfterStall(int faults) {
         List<String> found = new ArrayList<>();
         for (int seed = 1; seed <= SEEDS; seed++) {
             found.addAll(attemptsAfterNotification("plan " + seed, scenario(stallPlan(seed, faults))));
         }
-        assertEquals(List.of(), found);
+        return found;
     }
 
     /** A plan as above, in which all or some of the open watches stall for 2 to 14 s, some of them twice in a row. */
--- a/sidecar/src/main/java/martenlatch/discovery/DiscoveryClient.java
+++ b/sidecar/src/main/java/martenlatch/discovery/DiscoveryClient.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Supplier;
+import martenlatch.policy.ConfirmationSchedule;
 import martenlatch.request.EndpointList;
 import martenlatch.request.RateLimitedLogger;
 import martenlatch.request.Scheduler;
@@ -22,22 +23,28 @@
     private final DiscoveryConnection.Listener results = new ResultForwarder();
     private InetSocketAddress address;
     private DiscoveryConnection connection;
-    /** The connections of superseded polls by the number of the poll; the watcher limits them. */
+    /** The connections of polls beside the current one by the number of the poll; the watcher limits them. */
     private final Map<Long, DiscoveryConnection> superseded = new HashMap<>();
 
-    /** Creates a client that sends nothing yet; {@code timing} supplies the timing of each poll. */
+    /**
+     * Creates a client that sends nothing yet.
+     *
+     * @param confirmations decides when the list is confirmed beside an open watch
+     * @param timing supplies the timing of each poll
+     */
     public DiscoveryClient(
             EventLoop loop,
             Scheduler scheduler,
             InetSocketAddress address,
             EndpointListDecoder.Names names,
             RateLimitedLogger logger,
+            ConfirmationSchedule confirmations,
             Supplier<PollTiming> timing) {
         this.loop = loop;
         this.scheduler = scheduler;
         this.address = address;
         this.names = names;
-        watcher = new EndpointListWatcher(scheduler, this, logger, timing);
+        watcher = new EndpointListWatcher(scheduler, this, logger, confirmations, timing);
         connection = newConnection(address);
     }
 
@@ -68,6 +75,13 @@
         connection.send(poll);
     }
 
+    @Override
+    public void sendBeside(Poll poll) {
+        DiscoveryConnection own = newConnection(address);
+        superseded.put(poll.number(), own);
+        own.send(poll);
+    }
+
     @Override
     public void abort() {
         connection.close();
--- a/sidecar/src/main/java/martenlatch/discovery/DiscoveryTransport.java
+++ b/sidecar/src/main/java/martenlatch/discovery/DiscoveryTransport.java
@@ -9,6 +9,9 @@
      */
     void send(Poll poll);
 
+    /** Sends a poll as above on a new connection of its own, which ends with {@link #endSuperseded}. */
+    void sendBeside(Poll poll);
+
     /** Aborts the outstanding poll at the current address, if there is one, and closes the connection. */
     void abort();
 
--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
@@ -4,8 +4,10 @@
 import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
+import martenlatch.policy.ConfirmationSchedule;
 import martenlatch.policy.EndpointListAge;
 import martenlatch.policy.api.PollFailure;
 import martenlatch.request.EndpointList;
@@ -41,6 +43,7 @@
     private final PollLog pollLog;
     private final Supplier<PollTiming> timing;
     private final EndpointListAge age = new EndpointListAge();
+    private final ConfirmationPolls confirmations;
     private EndpointList.Listener listener;
     /** The last version received from discovery at the current address; if empty, the whole list is requested. */
     private OptionalLong knownVersion = OptionalLong.empty();
@@ -64,14 +67,24 @@
      */
     private boolean lastResponseStalled;
 
-    /** Creates a watcher that sends nothing yet; {@code timing} supplies the timing of each poll. */
+    /**
+     * Creates a watcher that sends nothing yet.
+     *
+     * @param schedule decides when the list is confirmed beside an open watch
+     * @param timing supplies the timing of each poll
+     */
     public EndpointListWatcher(
-            Scheduler scheduler, DiscoveryTransport transport, RateLimitedLogger logger, Supplier<PollTiming> timing) {
+            Scheduler scheduler,
+            DiscoveryTransport transport,
+            RateLimitedLogger logger,
+            ConfirmationSchedule schedule,
+            Supplier<PollTiming> timing) {
         this.scheduler = scheduler;
         this.transport = transport;
         this.logger = logger;
         pollLog = new PollLog(scheduler, logger);
         this.timing = timing;
+        confirmations = new ConfirmationPolls(scheduler, transport, pollLog, schedule, this::nextConfirmation);
     }
 
     /** Sets the listener for lists and failures, and the version of the list that the process starts with. */
@@ -100,6 +113,27 @@
         outstanding = new OutstandingPoll(scheduler, poll, addressNumber, maxResponseMs, this::onTimeout);
         pollLog.onSent(poll);
         transport.send(poll);
+        if (isWatchToConfirm()) {
+            confirmations.onWatchSent();
+        }
+    }
+
+    private boolean isWatchToConfirm() {
+        return outstanding != null
+                && outstanding.poll().isWatch()
+                && !outstanding.poll().timing().isWithoutWait()
+                && !outstanding.poll().timing().isAgent()
+                && !outstanding.hasResponseStarted();
+    }
+
+    /** Returns a poll that discovery answers at once with what the open watch should have brought. */
+    private Optional<Poll> nextConfirmation() {
+        if (!isWatchToConfirm()) {
+            return Optional.empty();
+        }
+        lastPollNumber++;
+        PollTiming withoutWait = outstanding.poll().timing().withoutWait();
+        return Optional.of(new Poll(lastPollNumber, knownVersion, withoutWait));
     }
 
     /**
@@ -108,6 +142,7 @@
      */
     public void onMoved() {
         knownVersion = OptionalLong.empty();
+        confirmations.endAll();
         addressNumber++;
         slowResponses = 0;
         transport.useNewConnection(outstanding == null ? null : outstanding.poll());
@@ -124,6 +159,11 @@
 
     /** Called when bytes of a response arrive. */
     public void onResponseBytes(long poll, int count) {
+        OutstandingPoll confirmation = confirmations.find(poll);
+        if (confirmation != null) {
+            confirmations.onBytes(confirmation, count);
+            return;
+        }
         OutstandingPoll responding = findOutstanding(poll);
         if (responding == null) {
             return;
@@ -141,6 +181,11 @@
      * short. A list from a previous address is passed on too; the listener then decides when to poll the current one.
      */
     public void onList(long poll, EndpointList list) {
+        OutstandingPoll confirmation = confirmations.find(poll);
+        if (confirmation != null) {
+            onConfirmation(confirmation, list);
+            return;
+        }
         OutstandingPoll answered = findOutstanding(poll);
         if (answered == null) {
             return;
@@ -150,7 +195,7 @@
         boolean isOutdated = answered.isOutdated(list.version());
         endUpTo(answered);
         if (!isOutdated) {
-            age.onConfirmed(scheduler.now() - answered.responseMs());
+            onConfirmed(answered);
         }
         if (answered.addressNumber() == addressNumber) {
             onListFromCurrentAddress(answered.poll(), list.version(), isOutdated);
@@ -164,6 +209,67 @@
         }
     }
 
+    private void onConfirmed(OutstandingPoll answered) {
+        double confirmedAtMs = scheduler.now() - answered.responseMs();
+        age.onConfirmed(confirmedAtMs);
+        confirmations.onConfirmed(confirmedAtMs);
+    }
+
+    /**
+     * Called when a confirmation is answered. If it brings a newer version, the watch should bring it too; if it brings
+     * an older one, discovery has started anew. A list that was composed before one that has arrived is ignored.
+     */
+    private void onConfirmation(OutstandingPoll confirmation, EndpointList list) {
+        boolean isOutdated = confirmation.isOutdated(list.version());
+        boolean isUnchanged = isKnown(list) && list.entries().isEmpty() && !list.full();
+        if (!isUnchanged) {
+            pollLog.onList(confirmation, list);
+        }
+        confirmations.onAnswered(confirmation);
+        if (isOutdated) {
+            return;
+        }
+        if (knownVersion.isPresent() && list.version() < knownVersion.getAsLong()) {
+            restartSilentWatch(outstanding, list.version());
+            return;
+        }
+        onConfirmed(confirmation);
+        if (!isUnchanged) {
+            applyConfirmation(list);
+        }
+    }
+
+    private boolean isKnown(EndpointList list) {
+        return knownVersion.isPresent() && knownVersion.getAsLong() == list.version();
+    }
+
+    private void applyConfirmation(EndpointList list) {
+        boolean isNew = !isKnown(list);
+        knownVersion = OptionalLong.of(list.version());
+        if (outstanding != null) {
+            outstanding.requireVersion(list.version());
+            OutstandingPoll watch = outstanding;
+            if (isNew) {
+                scheduler.after(PollTiming.RESPONSE_TIMEOUT_MS, () -> restartSilentWatch(watch, list.version()));
+            }
+        }
+        listener.onEndpointList(list);
+        // The listener takes a list for the answer to a watch that continues.
+        start();
+    }
+
+    /** Sends a watch anew that has not begun to bring a version which discovery has. */
+    private void restartSilentWatch(OutstandingPoll watch, long version) {
+        if (outstanding == null || outstanding != watch || watch.hasResponseStarted()) {
+            return;
+        }
+        pollLog.onSilentWatch(watch.number(), version);
+        logger.log("discovery watch is silent", "version " + version + " is known");
+        endOutstanding();
+        transport.abort();
+        start();
+    }
+
     /** Ends a poll that was answered and all earlier ones. */
     private void endUpTo(OutstandingPoll answered) {
         boolean isLatest = answered == outstanding;
@@ -182,6 +288,7 @@
         if (!isOutdated) {
             knownVersion = OptionalLong.of(version);
             superseded.forEach(later -> later.requireVersion(version));
+            confirmations.requireVersion(version);
             if (outstanding != null) {
                 outstanding.requireVersion(version);
             }
@@ -193,6 +300,11 @@
 
     /** Called when a poll fails; the cause appears in the log. */
     public void onFailure(long poll, Object cause) {
+        OutstandingPoll confirmation = confirmations.find(poll);
+        if (confirmation != null) {
+            confirmations.onFailure(confirmation, failureOf(cause), cause);
+            return;
+        }
         OutstandingPoll failed = findOutstanding(poll);
         if (failed == null) {
             return;
@@ -207,14 +319,15 @@
         }
         endOutstanding();
         transport.abort();
-        reportFailure(cause);
+        reportFailure(failed, failureOf(cause), cause);
     }
 
-    private void reportFailure(Object cause) {
+    private void reportFailure(OutstandingPoll failed, PollFailure failure, Object cause) {
         lastResponseStalled = false;
         double listAgeMs = age.ageMs(scheduler.now());
         logger.log("discovery failed", cause + ", list confirmed " + Math.round(listAgeMs) + " ms ago");
-        listener.onPollFailed(failureOf(cause), listAgeMs);
+        confirmations.onPollFailed(failed, failure);
+        listener.onPollFailed(failure, listAgeMs);
     }
 
     private static PollFailure failureOf(Object cause) {
@@ -246,16 +359,16 @@
             transport.abort();
         }
         if (isSlow) {
-            onSlowResponse(continues, detail);
+            onSlowResponse(timedOut, continues, detail);
         } else {
             onMissingOrStalledResponse(timedOut, detail);
         }
     }
 
-    private void onSlowResponse(boolean continues, String detail) {
+    private void onSlowResponse(OutstandingPoll timedOut, boolean continues, String detail) {
         slowResponses++;
         if (!continues) {
-            reportFailure("no answer in time: " + detail);
+            reportFailure(timedOut, PollFailure.NO_RESPONSE, "no answer in time: " + detail);
             return;
         }
         lastResponseStalled = false;
@@ -266,7 +379,7 @@
     private void onMissingOrStalledResponse(OutstandingPoll timedOut, String detail) {
         boolean isSecondStall = timedOut.hasResponseStarted() && lastResponseStalled;
         if (!timedOut.poll().isWatch() || isSecondStall) {
-            reportFailure("no answer in time: " + detail);
+            reportFailure(timedOut, PollFailure.NO_RESPONSE, "no answer in time: " + detail);
             return;
         }
         lastResponseStalled = timedOut.hasResponseStarted();
--- a/sidecar/src/main/java/martenlatch/discovery/OutstandingPoll.java
+++ b/sidecar/src/main/java/martenlatch/discovery/OutstandingPoll.java
@@ -45,10 +45,18 @@
     /**
      * Creates a poll that is sent now, and starts its timeout.
      *
-     * @param addressNumber the number of moves of discovery before the poll
      * @param maxResponseMs the time after which a response of which bytes keep arriving is slow
      * @param onTimeout called when the response is missing, stalls or is slow; may be called again in the background
      */
+    OutstandingPoll(Scheduler scheduler, Poll poll, double maxResponseMs, Consumer<OutstandingPoll> onTimeout) {
+        this(scheduler, poll, 0, maxResponseMs, onTimeout);
+    }
+
+    /**
+     * Creates a poll as above.
+     *
+     * @param addressNumber the number of moves of discovery before the poll
+     */
     OutstandingPoll(
             Scheduler scheduler,
             Poll poll,
@@ -146,6 +154,11 @@
                 + " ms, the last " + Math.round(nowMs - lastBytesAtMs) + " ms ago)";
     }
 
+    /** Returns the time since the poll was sent. */
+    double sinceSentMs() {
+        return scheduler.now() - sentAtMs;
+    }
+
     /** Returns the time from the first bytes of the response until now. */
     double responseMs() {
         return hasResponseStarted() ? scheduler.now() - firstBytesAtMs : 0;
--- a/sidecar/src/main/java/martenlatch/discovery/PollLog.java
+++ b/sidecar/src/main/java/martenlatch/discovery/PollLog.java
@@ -54,6 +54,16 @@
         log("discovery poll " + poll + " continues beside the next one: " + detail);
     }
 
+    /** Logs that a confirmation is repeated because it has no response yet. */
+    void onConfirmationMissing(String detail) {
+        log("discovery: another confirmation is sent: " + detail);
+    }
+
+    /** Logs a watch that is replaced because another poll has brought a version that it has not. */
+    void onSilentWatch(long poll, long version) {
+        log("discovery poll " + poll + " is silent although version " + version + " is known; it is sent anew");
+    }
+
     /** Logs a list, and how long its response took if that was long. */
     void onList(OutstandingPoll poll, EndpointList list) {
         double responseMs = poll.responseMs();
--- a/sidecar/src/main/java/martenlatch/discovery/PollTiming.java
+++ b/sidecar/src/main/java/martenlatch/discovery/PollTiming.java
@@ -75,6 +75,11 @@
                 boundedMs, RESPONSE_TIMEOUT_MS, FULL_LIST_TIMEOUT_MS, RESPONSE_TIMEOUT_MS, MAX_RESPONSE_MS);
     }
 
+    /** Returns whether this is the timing of polls of a local agent, which are repeated often. */
+    boolean isAgent() {
+        return waitMs < MIN_WAIT_MS && !isWithoutWait();
+    }
+
     /** Returns whether discovery answers at once, whether or not there is a newer version. */
     boolean isWithoutWait() {
         return waitMs == NO_WAIT_MS;
@@ -86,8 +91,7 @@
      * in the queue of discovery, because a poll that is aborted there has to queue again.
      */
     PollTiming withoutWait() {
-        boolean isAgent = waitMs < MIN_WAIT_MS;
-        return isAgent
+        return isAgent()
                 ? this
                 : new PollTiming(NO_WAIT_MS, NO_WAIT_TIMEOUT_MS, fullListTimeoutMs, stallTimeoutMs, maxResponseMs);
     }
--- a/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
@@ -16,6 +16,7 @@
 import martenlatch.frontend.http.Frontend;
 import martenlatch.net.EventLoopScheduler;
 import martenlatch.net.MemoryBudget;
+import martenlatch.policy.ConfirmationSchedule;
 import martenlatch.policy.api.PollFailure;
 import martenlatch.request.EndpointList;
 import martenlatch.request.ExecutionHistory;
@@ -79,6 +80,8 @@
                 config.discovery(),
                 config.names(),
                 logger,
+                new ConfirmationSchedule(
+                        config.settings().balancerCount(), new SplittableRandom(config.seed()).split()),
                 () -> PollTiming.next(configuration.get().settings(), random));
         requestTracker = new RequestTracker(
                 scheduler,
--- a/sidecar/src/test/java/martenlatch/discovery/EndpointListWatcherTest.java
+++ b/sidecar/src/test/java/martenlatch/discovery/EndpointListWatcherTest.java
@@ -145,8 +145,8 @@
                 List.of(transport.polls.size(), transport.failures),
                 "a second truncated response in a row is a failure");
         watcher.start();
-        answer(4, 9);
-        watcher.onResponseBytes(5, 1);
+        answer(transport.outstanding.number(), 9);
+        watcher.onResponseBytes(transport.outstanding.number(), 1);
         clock.advance(1000);
         assertEquals(
                 List.of(6, 1),
--- a/sidecar/src/test/java/martenlatch/discovery/PollRecorder.java
+++ b/sidecar/src/test/java/martenlatch/discovery/PollRecorder.java
@@ -16,8 +16,16 @@
     /** The polls that continue at previous addresses, by number. */
     final Map<Long, Poll> superseded = new HashMap<>();
 
+    /** The confirmations that are outstanding beside a watch, by number, and all that have been sent. */
+    final Map<Long, Poll> confirmations = new HashMap<>();
+
+    final List<Poll> sentConfirmations = new ArrayList<>();
+
     Poll outstanding;
     boolean isFromPreviousAddress;
+    /** Whether a confirmation is being answered, which leaves the watch as it is. */
+    boolean isConfirmation;
+
     int lists;
     int completed;
     int failures;
@@ -31,6 +39,14 @@
         polls.add(poll);
     }
 
+    @Override
+    public void sendBeside(Poll poll) {
+        assertTrue(outstanding != null, "a confirmation was sent although no watch is open");
+        confirmations.put(poll.number(), poll);
+        sentConfirmations.add(poll);
+        assertTrue(confirmations.size() <= 2, "the number of confirmations is limited");
+    }
+
     @Override
     public void abort() {
         outstanding = null;
@@ -48,13 +64,13 @@
 
     @Override
     public void endSuperseded(long poll) {
-        assertTrue(superseded.remove(poll) != null, "an unknown poll was ended");
+        assertTrue(superseded.remove(poll) != null || confirmations.remove(poll) != null, "an unknown poll was ended");
     }
 
     @Override
     public void onEndpointList(EndpointList list) {
         lists++;
-        if (isFromPreviousAddress) {
+        if (isFromPreviousAddress || isConfirmation) {
             return;
         }
         boolean nextIsSent = outstanding != null;
--- a/sidecar/src/test/java/martenlatch/discovery/WatcherTestCase.java
+++ b/sidecar/src/test/java/martenlatch/discovery/WatcherTestCase.java
@@ -3,6 +3,8 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.util.List;
+import java.util.SplittableRandom;
+import martenlatch.policy.ConfirmationSchedule;
 import martenlatch.request.EndpointList;
 import martenlatch.request.RateLimitedLogger;
 
@@ -15,6 +17,7 @@
             clock,
             transport,
             new RateLimitedLogger(clock, new PrintStream(OutputStream.nullOutputStream())),
+            new ConfirmationSchedule(1, new SplittableRandom(1)),
             () -> new PollTiming(20_000, 1000, PollTiming.FULL_LIST_TIMEOUT_MS, 1000, PollTiming.MAX_RESPONSE_MS));
 
     WatcherTestCase() {
@@ -25,6 +28,10 @@
         return new EndpointList(version, true, List.of());
     }
 
+    static EndpointList delta(long version) {
+        return new EndpointList(version, false, List.of());
+    }
+
     /** Answers a poll with a list that has no entries. */
     void answer(long number, long version) {
         transport.isFromPreviousAddress = transport.superseded.containsKey(number);
