Check right before the first byte that an endpoint still accepts attempts

Callers saw orders run at an endpoint 0.8 s after an operator had taken it out: their connections came up late. Cause: RequestTracker.disableEndpoints told the load balancer only; attempts that waited for a connection went on. The same rule as drains by another path: a decision is carried out long after it was made.

Change: the pool knows which endpoints are listed as ready and which operators have disabled, and EndpointConnection.send, the one place where the first byte of every attempt is written, withdraws an attempt whose endpoint accepts none any more. Disabling withdraws waiting attempts as a list does.

--- a/sidecar/src/main/java/martenlatch/request/EndpointConnections.java
+++ b/sidecar/src/main/java/martenlatch/request/EndpointConnections.java
@@ -1,11 +1,19 @@
 package martenlatch.request;
 
+import java.util.Set;
+
 /** Knows the addresses of endpoints and keeps connections to them. */
 public interface EndpointConnections {
 
     /** Applies an endpoint list; called before the load balancer is notified of it. */
     void update(EndpointList list);
 
+    /**
+     * Replaces the set of endpoints that operators have disabled, to which nothing new is written. Called before the
+     * load balancer is notified of it. Does nothing where others own the connections.
+     */
+    default void setDisabled(Set<String> endpointIds) {}
+
     /**
      * Ends attempts as {@code NOT_EXECUTED} that still wait for a connection to an endpoint which accepts no new
      * requests or was replaced by another process. Called after the load balancer was notified of the list.
--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -123,7 +123,9 @@
 
     /** Replaces the set of endpoints that operators have disabled. */
     public void disableEndpoints(Set<String> endpointIds) {
+        connections.setDisabled(endpointIds);
         events.enqueue(now -> balancer.onEndpointsDisabled(now, endpointIds));
+        connections.withdrawAttempts();
     }
 
     // ---- Requests and clients ----
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointConnection.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointConnection.java
@@ -133,7 +133,16 @@
         send(next);
     }
 
+    /**
+     * Writes an attempt, unless the endpoint accepts no new ones any more: the attempt may have been decided long
+     * before, and it counts as sent from its first byte on.
+     */
     private void send(EndpointAttempt sent) {
+        if (!endpoint.acceptsAttempts(generation)) {
+            sent.release();
+            sent.withdrawAndNotify();
+            return;
+        }
         sent.setDeadlineHeader();
         if (sent.streamedBody() == null) {
             channel.writeAndFlush(sent.request()).addListener(written -> onWritten(sent, written.isSuccess()));
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Set;
 import martenlatch.net.Buffers;
 import martenlatch.net.MemoryBudget;
 import martenlatch.request.EndpointConnections;
@@ -108,6 +109,11 @@
         endpoints.update(list);
     }
 
+    @Override
+    public void setDisabled(Set<String> endpointIds) {
+        endpoints.setDisabled(endpointIds);
+    }
+
     @Override
     public void withdrawAttempts() {
         endpoints.withdrawQueuedAttempts();
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointTable.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointTable.java
@@ -18,6 +18,8 @@
     private final Map<InetSocketAddress, PooledEndpoint> byAddress = new HashMap<>();
     /** The attempts that wait for connections to endpoints that no longer accept new requests. */
     private final List<EndpointAttempt> attemptsToWithdraw = new ArrayList<>();
+    /** The ids of the endpoints that operators have disabled. */
+    private Set<String> disabled = Set.of();
 
     /** Returns the endpoint with this id, or null. */
     PooledEndpoint find(String id) {
@@ -66,7 +68,19 @@
         endpoint.address = entry.address();
         endpoint.startedMs = startedMs;
         claimAddress(endpoint);
-        if (entry.endpoint().status() != EndpointStatus.READY) {
+        endpoint.ready = entry.endpoint().status() == EndpointStatus.READY;
+        setDisabled(endpoint, disabled.contains(entry.endpoint().id()));
+    }
+
+    /** Replaces the set of endpoints that operators have disabled. */
+    void setDisabled(Set<String> endpointIds) {
+        disabled = Set.copyOf(endpointIds);
+        endpoints.forEach((id, endpoint) -> setDisabled(endpoint, disabled.contains(id)));
+    }
+
+    private void setDisabled(PooledEndpoint endpoint, boolean isDisabled) {
+        endpoint.disabled = isDisabled;
+        if (!endpoint.ready || isDisabled) {
             queueAttemptsForWithdrawal(endpoint);
         }
     }
@@ -74,6 +88,7 @@
     private void remove(String id) {
         PooledEndpoint removed = endpoints.remove(id);
         if (removed != null) {
+            removed.ready = false;
             invalidateConnections(removed);
             releaseAddress(removed);
         }
--- a/sidecar/src/main/java/martenlatch/upstream/PooledEndpoint.java
+++ b/sidecar/src/main/java/martenlatch/upstream/PooledEndpoint.java
@@ -22,6 +22,16 @@
     /** Incremented when the existing connections become invalid; connections of an older generation are not kept. */
     int generation;
 
+    /** Whether the endpoint is listed as ready. */
+    boolean ready;
+    /** Whether operators have disabled the endpoint. */
+    boolean disabled;
+
+    /** Returns whether the first byte of an attempt may be written to a connection of this generation now. */
+    boolean acceptsAttempts(int connectionGeneration) {
+        return ready && !disabled && connectionGeneration == generation;
+    }
+
     void closeIdleConnections() {
         for (EndpointConnection connection : List.copyOf(idle)) {
             connection.close();
--- a/sidecar/src/test/java/martenlatch/sidecar/AdminOperationsTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/AdminOperationsTest.java
@@ -166,6 +166,33 @@
 
     // ---- disabled endpoints ----
 
+    /**
+     * Guards against an attempt that reaches a disabled endpoint long after the operator's call, because its connection
+     * was established late (review/stand/DisabledEndpoint). It was never executed, so that it may be rejected.
+     */
+    @Test
+    void attemptWaitingForConnectionIsWithdrawnFromDisabledEndpoint() throws Exception {
+        try (DelayedAcceptEndpoint late = new DelayedAcceptEndpoint()) {
+            SidecarFixture fixture = SidecarFixture.withEndpointAt(late.address());
+            fixtures.add(fixture);
+            fixture.adminAddress = "127.0.0.1:0";
+            fixture.sharedFolder = sharedFolder;
+            fixture.connectTimeoutMs = 30_000;
+            fixture.start();
+            RawHttpClient client = fixture.client().send(fixture.request("order", DEADLINE_MS));
+            fixture.awaitPending(1);
+            assertEquals(
+                    200,
+                    fixture.callAdminApi("POST /endpoints/disable", nameBody("s0"))
+                            .status());
+            late.startAccepting();
+            assertEquals(503, client.read().status());
+            client.close();
+            SidecarFixture.await("the connection has ended", () -> late.endedConnections.get() > 0);
+            assertEquals(List.of(), late.requests);
+        }
+    }
+
     /** Guards against requests to a disabled endpoint, even if discovery lists it again or as restarted. */
     @Test
     void disabledEndpointGetsNoRequestsUntilEnabled() throws Exception {
