--- a/sidecar/src/test/java/martenlatch/sidecar/RawHttpClient.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/RawHttpClient.java
@@ -27,6 +27,9 @@
     }
 
     final Socket socket;
+    /** The time of the first byte of the last message read, on {@link System#nanoTime}. */
+    volatile long firstByteNanos;
+
     private final InputStream in;
 
     RawHttpClient(Socket socket) throws IOException {
@@ -121,6 +124,11 @@
     }
 
     Message readHead() throws IOException {
+        in.mark(1);
+        if (in.read() >= 0) {
+            firstByteNanos = System.nanoTime();
+        }
+        in.reset();
         String startLine = readLine();
         Map<String, String> headers = new LinkedHashMap<>();
         for (String line = readLine(); !line.isEmpty(); line = readLine()) {
--- a/sidecar/src/test/java/martenlatch/sidecar/SidecarProcess.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SidecarProcess.java
@@ -29,6 +29,7 @@
     private static final long KIB = 1024;
 
     private final Path folder;
+    private final Path config;
     private final Process process;
     private final Thread logReader;
     private final StringBuffer log = new StringBuffer();
@@ -37,6 +38,7 @@
 
     private SidecarProcess(Path folder, List<String> command, Path config) throws IOException {
         this.folder = folder;
+        this.config = config;
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("GW_CONFIG", config.toString());
         builder.environment().put("TMPDIR", folder.toString());
@@ -123,6 +125,11 @@
         process.toHandle().destroy();
     }
 
+    /** Replaces the configuration file by that of a fixture; {@link #reload} makes the process read it. */
+    void replaceConfig(SidecarFixture fixture) throws IOException {
+        Files.writeString(config, fixture.config());
+    }
+
     /** Sends SIGHUP. */
     void reload() throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid()))
