Bound the deferral of polls after a move by the time discovery has to answer

Cause: after a move the next poll waits for one at an address before that discovery answers at once; if that connection has fallen silent, until its time-out of 3 s and what follows.

Change: such a poll defers the next one until it is 2 s old, by when discovery has answered or rejected it.

--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
@@ -37,6 +37,9 @@
     /** The time of a slow response doubles at most this often. */
     private static final int MAX_RESPONSE_TIME_DOUBLINGS = 4;
 
+    /** The age up to which a poll at a previous address defers the next one: by then discovery has answered it. */
+    private static final double MAX_DEFERRAL_MS = 2000;
+
     private final Scheduler scheduler;
     private final DiscoveryTransport transport;
     private final RateLimitedLogger logger;
@@ -104,6 +107,7 @@
         }
         startDeferred = isResponseDueFromPreviousAddress();
         if (startDeferred) {
+            scheduler.after(remainingDeferralMs(), this::startIfDeferred);
             return;
         }
         lastPollNumber++;
@@ -118,6 +122,13 @@
         }
     }
 
+    /** Ends a deferral if the poll at a previous address is overdue: its connection may have fallen silent. */
+    private void startIfDeferred() {
+        if (startDeferred) {
+            start();
+        }
+    }
+
     private boolean isWatchToConfirm() {
         return outstanding != null
                 && outstanding.poll().isWatch()
@@ -433,9 +444,17 @@
     }
 
     private boolean isResponseDueFromPreviousAddress() {
+        return remainingDeferralMs() > 0;
+    }
+
+    /** Returns for how long a poll at a previous address that discovery answers at once defers the next one. */
+    private double remainingDeferralMs() {
         return superseded.stream()
                 .filter(each -> each.addressNumber() != addressNumber && !each.isInBackground())
-                .anyMatch(each -> !each.poll().isWatch() || each.poll().timing().isWithoutWait());
+                .filter(each -> !each.poll().isWatch() || each.poll().timing().isWithoutWait())
+                .mapToDouble(each -> MAX_DEFERRAL_MS - each.sinceSentMs())
+                .max()
+                .orElse(0);
     }
 
     private void endOutstanding() {
