Let confirmations give way to rejections after a long wait only; cap their slow start

Change: rejections of other polls count as overload after 1.5 s; the next confirmation then follows the current interval. Fleets start at 1.6 times the interval at most.

--- a/sidecar/src/main/java/martenlatch/policy/ConfirmationSchedule.java
+++ b/sidecar/src/main/java/martenlatch/policy/ConfirmationSchedule.java
@@ -20,10 +20,13 @@
     /** The time to the first byte from which on discovery counts as overloaded. */
     public static final double SLOW_RESPONSE_MS = 750;
 
+    private static final double OVERLOAD_REJECTION_MS = 1500; // the wait for a rejection in a queue that is full
     private static final double PROMPT_RESPONSE_MS = 250; // the time to the first byte without a queue
     private static final double MAX_BACKOFF = 4; // upper bound on the factor of the interval
     private static final double RECOVERY_STEP = 0.5; // by which the factor decreases with each prompt response
     private static final double BALANCERS_AT_FULL_RATE = 50; // more of them start with longer intervals
+    /** The first interval and a prompt response take no longer than the list may age and half of a drain's grace. */
+    private static final double MAX_INITIAL_BACKOFF = 1.6;
 
     /** A watch is answered within this time if discovery already has a change and the connection works. */
     private static final double FIRST_AFTER_WATCH_MS = 750;
@@ -50,7 +53,7 @@
      */
     public ConfirmationSchedule(int balancerCount, SplittableRandom random) {
         this.random = random;
-        backoff = Math.max(1, Math.min(MAX_BACKOFF, balancerCount / BALANCERS_AT_FULL_RATE));
+        backoff = Math.max(1, Math.min(MAX_INITIAL_BACKOFF, balancerCount / BALANCERS_AT_FULL_RATE));
     }
 
     /** Returns the time at which the next confirmation is due; positive infinity before the first list. */
@@ -95,16 +98,16 @@
     }
 
     /**
-     * Called when another poll has failed, so that discovery could not be reached until now. The first confirmation
-     * after that is due in time whatever the load. A rejection after a while shows that polls wait in a queue.
+     * Called when another poll has failed, so that discovery could not be reached until now. A rejection after a long
+     * wait shows that more polls wait in a queue than discovery can answer.
      *
      * @param failedAfterMs the time since the poll was sent
      */
     public void onPollFailed(double nowMs, double failedAfterMs, boolean isRejected) {
-        if (isRejected && failedAfterMs >= SLOW_RESPONSE_MS && failedAfterMs <= MAX_INTERVAL_MS) {
+        if (isRejected && failedAfterMs >= OVERLOAD_REJECTION_MS && failedAfterMs <= MAX_INTERVAL_MS) {
             backOff();
         }
-        dueAtMs = nowMs + MAX_INTERVAL_MS * randomShare();
+        dueAtMs = nowMs + nextIntervalMs();
     }
 
     /** Called when discovery has rejected a confirmation: it has no room for them now. */
