Release a request's body with its final response, whoever has read it and how far

Cause: the parts of a streamed body had no owner between the client's and the endpoint's connection. The collector forgot the body when it was complete, the endpoint's connection released it only if it had ever attached. A body that was read whole first (the check for a client that has left reads on past a pause) and whose attempt was then given up, refused or failed stayed reserved for good; once the budget was used up the direct buffers themselves stayed.

Change: the pending response owns the body as it owns the head and the collected body, and aborts it with the final response or the client's end. Reading ahead of a pause ends when memory is short, for all clients together. A part that can be neither reserved nor held in direct memory gets its request a 503 (no attempt of it was complete); pipelined input without memory is processed and refused instead of buffered.

The shared fixture now asserts after each test that nothing is reserved and no direct buffer is left.

--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
@@ -252,9 +252,9 @@
         }
         updateReading();
         if (event instanceof CompleteRequest complete) {
-            response.setRequestMemory(complete.headMemory(), complete.body().length);
+            response.ownRequest(complete.headMemory(), complete.body().length);
         } else if (event instanceof StreamedRequest streamed) {
-            response.setRequestMemory(streamed.headMemory(), 0);
+            response.ownRequest(streamed.headMemory(), streamed.body());
         }
         if (event instanceof InvalidInput invalid) {
             response.rejectInvalid(invalid.status(), invalid.reason());
--- a/sidecar/src/main/java/martenlatch/frontend/http/ConnectionGuard.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ConnectionGuard.java
@@ -45,7 +45,7 @@
     /**
      * The limit on buffered input, above which it is processed in any case. Input is buffered here rather than left in
      * the socket buffer, because a disconnect is only visible after all bytes before it are read. Only a client that
-     * pipelines excessively exceeds this limit.
+     * pipelines excessively exceeds this limit. Input for which there is no memory is processed too, and rejected.
      */
     private static final int MAX_BUFFERED_BYTES = 16 * 1024;
 
@@ -146,11 +146,14 @@
         return receivedInput;
     }
 
-    /** Reads available input as {@link #readAvailable()} does, until there is none or {@code maxBytes} were read. */
+    /**
+     * Reads available input as {@link #readAvailable()} does, until there is none, {@code maxBytes} were read or memory
+     * is short: what is read ahead of a paused body is held, for all clients together.
+     */
     void readAvailable(long maxBytes) {
         long endBytes = readBytes + maxBytes;
         boolean mayHaveMore = readAvailable();
-        while (mayHaveMore && readBytes < endBytes) {
+        while (mayHaveMore && readBytes < endBytes && !memory.isShort()) {
             mayHaveMore = readAvailable();
         }
     }
@@ -208,6 +211,7 @@
 
     private void buffer(ByteBuf bytes) {
         bufferedBytes += bytes.readableBytes();
+        bufferingInput &= memory.canHold(MemoryBudget.Use.BUFFERED_INPUT, bytes.readableBytes());
         bufferedInput.add(CollectedBytes.compact(bytes, memory, MemoryBudget.Use.BUFFERED_INPUT));
         bufferingInput &= bufferedBytes <= MAX_BUFFERED_BYTES;
         if (!bufferingInput) {
--- a/sidecar/src/main/java/martenlatch/frontend/http/PendingResponse.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/PendingResponse.java
@@ -12,6 +12,7 @@
 import martenlatch.request.EndpointResponse;
 import martenlatch.request.RemainingBody;
 import martenlatch.request.ResponseListener;
+import martenlatch.upstream.StreamedRequestBody;
 
 /** The response to one request of a client connection, from the arrival of the request until it is written. */
 final class PendingResponse implements ResponseListener, RemainingBody.Receiver {
@@ -30,6 +31,8 @@
     private RequestHeaders requestHeaders;
     /** The size of the collected request body that is reserved in the memory budget, in bytes. */
     private int bodyBytes;
+    /** The streamed body of the request, whose waiting parts belong to this response; null if there is none. */
+    private StreamedRequestBody streamedBody;
     /** The size of the response that is reserved in the memory budget, in bytes. */
     private int responseBytes;
 
@@ -53,12 +56,18 @@
         supportsChunked = clientSupportsChunked;
     }
 
-    /** Takes over the reserved memory of the request. */
-    void setRequestMemory(RequestHeaders headers, int collectedBodyBytes) {
+    /** Takes over the memory of a request whose body is complete. */
+    void ownRequest(RequestHeaders headers, int collectedBodyBytes) {
         requestHeaders = headers;
         bodyBytes = collectedBodyBytes;
     }
 
+    /** Takes over the memory of a request whose body is streamed. */
+    void ownRequest(RequestHeaders headers, StreamedRequestBody body) {
+        requestHeaders = headers;
+        streamedBody = body;
+    }
+
     void setRequestId(String id) {
         requestId = id;
     }
@@ -107,7 +116,7 @@
         keepAlive = false;
     }
 
-    /** Releases the reserved memory of the request and of the response; further calls have no effect. */
+    /** Releases the memory of the request and of the response; further calls have no effect. */
     void releaseMemory() {
         releaseRequestMemory();
         memory.release(Use.RESPONSE, responseBytes);
@@ -121,6 +130,11 @@
         }
         memory.release(Use.REQUEST_BODY, bodyBytes);
         bodyBytes = 0;
+        if (streamedBody != null) {
+            StreamedRequestBody released = streamedBody;
+            streamedBody = null;
+            released.abort();
+        }
     }
 
     @Override
--- a/sidecar/src/main/java/martenlatch/frontend/http/RequestBodyCollector.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/RequestBodyCollector.java
@@ -168,6 +168,10 @@
                 reject(ctx, TOO_LARGE);
                 return;
             }
+            if (!streamedBody.forwardsImmediately() && !memory.canHold(Use.REQUEST_BODY, bytes.readableBytes())) {
+                reject(ctx, MEMORY_SHORT);
+                return;
+            }
             client.onBytesReceived(streamedBytes);
             // The bytes may wait for the endpoint.
             streamedBody.offer(CollectedBytes.compact(bytes.retain(), memory, Use.REQUEST_BODY));
--- a/sidecar/src/main/java/martenlatch/net/Buffers.java
+++ b/sidecar/src/main/java/martenlatch/net/Buffers.java
@@ -1,6 +1,7 @@
 package martenlatch.net;
 
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.PoolArenaMetric;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
@@ -29,6 +30,14 @@
 
     private Buffers() {}
 
+    /** Returns the number of direct buffers that are not released. */
+    public static long unreleasedDirectBuffers() {
+        return ((PooledByteBufAllocator) ALLOCATOR)
+                .metric().directArenas().stream()
+                        .mapToLong(PoolArenaMetric::numActiveAllocations)
+                        .sum();
+    }
+
     /** Creates a receive buffer allocator; each bootstrap needs its own, as it adapts to the sizes that were read. */
     public static RecvByteBufAllocator receiveBufferAllocator() {
         return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
--- a/sidecar/src/main/java/martenlatch/net/MemoryBudget.java
+++ b/sidecar/src/main/java/martenlatch/net/MemoryBudget.java
@@ -62,14 +62,30 @@
 
     /** Reserves memory, or returns false and reserves nothing if the limit for this use would be exceeded. */
     public boolean tryReserve(Use use, long bytes) {
-        double share = use == Use.REQUEST_HEAD ? 1 : BULK_SHARE;
-        if (reservedBytes + bytes > maxBytes * share) {
+        if (!hasRoom(use, bytes)) {
             return false;
         }
         reserve(use, bytes);
         return true;
     }
 
+    private boolean hasRoom(Use use, long bytes) {
+        double share = use == Use.REQUEST_HEAD ? 1 : BULK_SHARE;
+        return reservedBytes + bytes <= maxBytes * share;
+    }
+
+    /**
+     * Returns whether bytes that were read can be held: either they can be reserved, or the direct memory into which
+     * they were read is not short. If not, they have to be passed on at once or their request has to be rejected.
+     */
+    public boolean canHold(Use use, long bytes) {
+        return hasRoom(use, bytes) || !isDirectMemoryShort();
+    }
+
+    private boolean isDirectMemoryShort() {
+        return PlatformDependent.usedDirectMemory() > maxDirectBytes * SHORT_DIRECT_SHARE;
+    }
+
     /** Reserves memory that is held already. */
     public void reserve(Use use, long bytes) {
         reservedBytes += bytes;
@@ -87,8 +103,14 @@
      * reserved here, but measured.
      */
     public boolean isShort() {
-        return reservedBytes > maxBytes * SHORT_SHARE
-                || PlatformDependent.usedDirectMemory() > maxDirectBytes * SHORT_DIRECT_SHARE;
+        return reservedBytes > maxBytes * SHORT_SHARE || isDirectMemoryShort();
+    }
+
+    /** Returns the number of bytes that are reserved for each use; uses without any are left out. */
+    public Map<Use, Long> reservedByUse() {
+        Map<Use, Long> nonZero = new EnumMap<>(reservedByUse);
+        nonZero.values().removeIf(bytes -> bytes == 0);
+        return nonZero;
     }
 
     /** Returns the number of reserved bytes. */
--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -7,12 +7,14 @@
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.TimeZone;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import martenlatch.discovery.EndpointListGate;
+import martenlatch.net.MemoryBudget;
 import martenlatch.net.ResilientEventLoopGroup;
 import martenlatch.site.PeerAddresses;
 import martenlatch.site.SiteConfig;
@@ -230,6 +232,11 @@
         return List.of(parts.requestTracker.pendingRequests(), parts.endpointPool.size());
     }
 
+    /** Returns the memory that is held for clients and endpoints, by use; must be called on the event loop. */
+    Map<MemoryBudget.Use, Long> memoryHeld() {
+        return parts.endpointPool.memory().reservedByUse();
+    }
+
     /** Returns the memory held by request bodies, in bytes; must be called on the event loop. */
     long bodyBytesHeld() {
         return parts.frontend.bodyBytesHeld();
--- a/sidecar/src/main/java/martenlatch/upstream/StreamedRequestBody.java
+++ b/sidecar/src/main/java/martenlatch/upstream/StreamedRequestBody.java
@@ -10,6 +10,9 @@
  * parts; an endpoint's connection is its sink and takes them. Only the first attempt whose connection attaches can send
  * the body, because forwarded parts are not kept for a later one. Pausing the client limits the number of bytes that
  * wait to be forwarded.
+ *
+ * <p>The parts that wait belong to the pending response of the request, which calls {@link #abort} when the request has
+ * its final response or its client is gone, whether or not the body is complete and a sink was ever attached.
  */
 public final class StreamedRequestBody {
 
@@ -93,6 +96,11 @@
         return !attachedOnce && !aborted;
     }
 
+    /** Returns whether the next part is passed to the endpoint's connection as soon as it is offered. */
+    public boolean forwardsImmediately() {
+        return sink != null && !sinkFull && pendingParts.isEmpty();
+    }
+
     /** Adds the next received part and takes ownership of it. */
     public void offer(ByteBuf part) {
         boolean discarded = attachedOnce && sink == null;
@@ -111,11 +119,21 @@
         forwardPendingParts();
     }
 
-    /** Ends the body before it is complete, and drops the parts that were not forwarded. */
+    /**
+     * Ends the body and drops the parts that were not forwarded; parts that arrive afterwards are dropped. The source
+     * is read on, so that its disconnect is noticed. Further calls have no effect.
+     */
     public void abort() {
+        if (aborted) {
+            return;
+        }
         aborted = true;
         sink = null;
         releasePendingParts();
+        if (sourcePaused) {
+            sourcePaused = false;
+            source.setPaused(false);
+        }
     }
 
     /** Attaches the endpoint's connection that receives the body from its first byte. */
--- a/sidecar/src/test/java/martenlatch/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SidecarFixture.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
@@ -12,10 +13,13 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import martenlatch.discovery.EndpointListGate;
+import martenlatch.net.Buffers;
 
 /** A sidecar with fake endpoints and a fake discovery, all on loopback addresses. */
 final class SidecarFixture implements Closeable {
@@ -72,6 +76,10 @@
     String requestIdPrefix = "r";
 
     private int requestCounter;
+    /** The clients made by {@link #client}. */
+    private final List<RawHttpClient> clients = new CopyOnWriteArrayList<>();
+    /** The number of direct buffers in use before the start. */
+    private final long directBuffersBefore = Buffers.unreleasedDirectBuffers();
 
     SidecarFixture(FakeEndpoint... endpoints) throws IOException {
         this.endpoints.addAll(List.of(endpoints));
@@ -181,7 +189,9 @@
     }
 
     RawHttpClient client() throws IOException {
-        return RawHttpClient.connect(sidecar.address());
+        RawHttpClient client = RawHttpClient.connect(sidecar.address());
+        clients.add(client);
+        return client;
     }
 
     /** Returns a request: GET for the idempotent class "read", otherwise POST with a body. */
@@ -231,6 +241,40 @@
         }
     }
 
+    /**
+     * Checks that nothing is held any more once all clients are gone: no reserved memory, for any use, and no direct
+     * buffer.
+     */
+    void assertNothingHeld() {
+        try {
+            await("nothing is held for clients that are gone", () -> held().isEmpty());
+        } catch (AssertionError e) {
+            throw new AssertionError(e.getMessage() + ": " + held(), e);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Returns a description of what is held for clients and endpoints; empty if that is nothing. */
+    private String held() {
+        Future<String> held;
+        try {
+            held = sidecar.loop().submit(this::describeHeld);
+        } catch (RejectedExecutionException e) {
+            // The sidecar has stopped; its state may be read from this thread once its event loop has ended.
+            sidecar.loop().terminationFuture().syncUninterruptibly();
+            return describeHeld();
+        }
+        return held.syncUninterruptibly().getNow();
+    }
+
+    private String describeHeld() {
+        long directBuffers = Buffers.unreleasedDirectBuffers() - directBuffersBefore;
+        return sidecar.memoryHeld().isEmpty() && directBuffers <= 0
+                ? ""
+                : sidecar.memoryHeld() + " and " + directBuffers + " direct buffers";
+    }
+
     /** Waits until exactly {@code requestCount} requests are pending. */
     void awaitPending(int requestCount) throws InterruptedException {
         await(requestCount + " requests are pending", () -> tableSizes().get(0) == requestCount);
@@ -304,6 +348,10 @@
     @Override
     public void close() throws IOException {
         if (sidecar != null) {
+            for (RawHttpClient client : clients) {
+                client.close();
+            }
+            assertNothingHeld();
             sidecar.stop();
             Files.delete(configFile);
         }
