Parse a request for the settings and the latest deadline in force when it is accepted

Cause: a request was parsed when it was read (index of its class, latest deadline) and accepted by a later task of the event loop, against the settings and the shutdown of that task.

Change: the task that accepts a request parses it, with the time at which it was read; parsing at the read only decides whether more is read. The parser switches before the tracker, which may answer and so read more at once. The upload timer of a body that may have arrived is capped by the shutdown too; it was not.

--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
@@ -55,8 +55,9 @@
             HttpHeaderNames.UPGRADE,
             HttpHeaderNames.EXPECT);
 
-    /** A request that has been read but not yet submitted to the request tracker. */
-    private record QueuedRequest(PendingResponse response, Request request, OutgoingRequest message) {}
+    /** A request that has been read but not yet submitted to the request tracker, and the time at which it was read. */
+    private record QueuedRequest(
+            PendingResponse response, HttpRequest head, double readAtMs, OutgoingRequest message) {}
 
     private final SocketChannel channel;
     private final FrontendContext context;
@@ -292,9 +293,10 @@
     }
 
     private void accept(PendingResponse response, HttpRequest request, byte[] body, StreamedRequestBody streamedBody) {
-        Request accepted;
+        double readAtMs = context.scheduler().now();
         try {
-            accepted = parse(request);
+            // An invalid request ends the connection before the next one is read.
+            parse(request, readAtMs);
         } catch (InvalidRequestException e) {
             response.rejectInvalid(HttpResponseStatus.valueOf(e.status()), e.getMessage());
             return;
@@ -312,7 +314,8 @@
             return;
         }
         clientSentRequest = true;
-        queuedRequests.add(new QueuedRequest(response, accepted, toOutgoingRequest(request, body, streamedBody)));
+        queuedRequests.add(
+                new QueuedRequest(response, request, readAtMs, toOutgoingRequest(request, body, streamedBody)));
         if (streamedBody != null) {
             submitQueuedRequests();
         } else if (queuedRequests.size() == 1) {
@@ -321,10 +324,10 @@
         }
     }
 
-    private Request parse(HttpRequest request) throws InvalidRequestException {
+    /** Parses a request for the settings and the latest deadline of the current time. */
+    private Request parse(HttpRequest request, double readAtMs) throws InvalidRequestException {
         FrontendState state = context.state();
-        return state.requestParser()
-                .parse(new HttpRequestHead(request), context.scheduler().now(), state.maxDeadlineMs());
+        return state.requestParser().parse(new HttpRequestHead(request), readAtMs, state.maxDeadlineMs());
     }
 
     private void submitQueuedRequests() {
@@ -336,13 +339,24 @@
         }
     }
 
+    /**
+     * Submits a request to the request tracker. It is parsed for the settings and the latest deadline of this time, as
+     * a reload or the beginning of the shutdown may have run since it was read.
+     */
     private void submit(QueuedRequest queued) {
         PendingResponse response = queued.response();
-        response.setRequestId(queued.request().id());
+        Request request;
+        try {
+            request = parse(queued.head(), queued.readAtMs());
+        } catch (InvalidRequestException e) {
+            // It was valid when it was read, so the requests behind it were read too and the connection goes on.
+            response.respond(HttpResponses.ofText(HttpResponseStatus.valueOf(e.status()), e.getMessage()));
+            return;
+        }
+        response.setRequestId(request.id());
         boolean incomplete = queued.message().streamedBody() != null;
         Acceptance acceptance = context.requestTracker()
-                .acceptOnce(
-                        queued.request(), context.endpointPool().transportFor(queued.message()), response, incomplete);
+                .acceptOnce(request, context.endpointPool().transportFor(queued.message()), response, incomplete);
         if (acceptance != Acceptance.ACCEPTED) {
             response.setRequestId(null);
         }
@@ -415,7 +429,9 @@
         if (responseToIncompleteRequest != null && responseToIncompleteRequest.isAwaited()) {
             context.requestTracker()
                     .onRequestMayBeComplete(
-                            responseToIncompleteRequest.requestId(), uploadClock.mayBeCompleteSinceMs());
+                            responseToIncompleteRequest.requestId(),
+                            uploadClock.mayBeCompleteSinceMs(),
+                            context.state().maxDeadlineMs());
         }
     }
 
--- a/sidecar/src/main/java/martenlatch/request/PendingRequest.java
+++ b/sidecar/src/main/java/martenlatch/request/PendingRequest.java
@@ -30,6 +30,8 @@
     Scheduler.Timer deadlineTimer;
     /** Whether the last byte of the request is still to arrive. */
     boolean bodyIncomplete;
+    /** The time by which the last byte of an incomplete body must be forwarded; NaN while it cannot have arrived. */
+    double uploadDueMs = Double.NaN;
     /** Whether the request got its final answer or its client disconnected. */
     boolean concluded;
     /** Whether the request was served. */
--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -209,16 +209,21 @@
      * that it was not. While it may have been, the client's time runs.
      *
      * @param sinceMs the time since which the last byte may have been written; NaN if it was not
+     * @param latestMs the latest deadline that the request may have
      */
-    public void onRequestMayBeComplete(String requestId, double sinceMs) {
+    public void onRequestMayBeComplete(String requestId, double sinceMs, double latestMs) {
         PendingRequest request = pending.get(requestId);
         if (request == null || !request.bodyIncomplete || request.concluded) {
             return;
         }
+        request.uploadDueMs = Math.min(latestMs, sinceMs + request.deadlineMs - request.acceptedAtMs);
+        startUploadTimer(request);
+    }
+
+    private void startUploadTimer(PendingRequest request) {
         request.cancelDeadlineTimer();
-        if (!Double.isNaN(sinceMs)) {
-            double dueMs = sinceMs + request.deadlineMs - request.acceptedAtMs;
-            request.deadlineTimer = scheduler.after(dueMs - scheduler.now(), () -> endUpload(request));
+        if (!Double.isNaN(request.uploadDueMs)) {
+            request.deadlineTimer = scheduler.after(request.uploadDueMs - scheduler.now(), () -> endUpload(request));
         }
     }
 
@@ -264,11 +269,18 @@
 
     /**
      * Caps the deadline of every pending request at {@code latestMs}, so that each gets its final answer before the
-     * process exits. The deadline of an incomplete request is capped by {@link #onRequestComplete}.
+     * process exits. An incomplete request is capped if its last byte may have arrived; the others are capped by
+     * {@link #onRequestComplete} and {@link #onRequestMayBeComplete}.
      */
     public void capDeadlines(double latestMs) {
         for (PendingRequest request : pending.values()) {
-            if (!request.concluded && !request.bodyIncomplete && request.deadlineMs > latestMs) {
+            if (request.concluded) {
+                continue;
+            }
+            if (request.bodyIncomplete && request.uploadDueMs > latestMs) {
+                request.uploadDueMs = latestMs;
+                startUploadTimer(request);
+            } else if (!request.bodyIncomplete && request.deadlineMs > latestMs) {
                 capDeadline(request, latestMs);
             }
         }
--- a/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
@@ -125,8 +125,9 @@
     /** Applies a new configuration to all components; requests in flight keep the settings that they started with. */
     void apply(SiteConfig next) {
         endpointPool.applyTimeouts(next.settings().limits().connectTimeoutMs(), next.idleCloseMs());
-        requestTracker.applySettings(next.settings());
+        // The tracker may answer requests at once, which reads more of them: they must be parsed for these settings.
         frontend.applySettings(next.settings());
+        requestTracker.applySettings(next.settings());
         discovery.moveTo(next.discovery());
     }
 
--- a/sidecar/src/test/java/martenlatch/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SidecarFixture.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.SingleThreadEventExecutor;
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
@@ -30,6 +31,11 @@
     /** Longer than the 10 ms after a response within which the sidecar does not reuse a connection. */
     private static final int REUSE_WAIT_MS = 15;
 
+    /** Longer than tasks may take before the event loop goes on to I/O. */
+    private static final int MAX_TASK_TIME_MS = 1100;
+    /** More tasks than the event loop runs before it looks at the time. */
+    private static final int TASKS_BEFORE_LIMIT = 128;
+
     final List<FakeEndpoint> endpoints = new ArrayList<>();
     final FakeEndpoint discovery;
     final ByteArrayOutputStream log = new ByteArrayOutputStream();
@@ -318,6 +324,42 @@
         }
     }
 
+    /**
+     * Has requests read in one turn of the event loop, and a task run before those that the requests have queued. The
+     * event loop goes on to I/O although tasks are waiting when they have taken longer than its limit; it looks at the
+     * time after each 64 tasks.
+     *
+     * @param send sends the requests
+     * @param enqueue queues the task
+     */
+    void betweenReadAndAccept(Action send, Action enqueue) throws Exception {
+        SingleThreadEventExecutor loop = (SingleThreadEventExecutor) sidecar.loop();
+        tableSizes();
+        tableSizes();
+        CountDownLatch blocked = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        loop.execute(() -> {
+            blocked.countDown();
+            long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_TASK_TIME_MS);
+            await(release);
+            while (System.nanoTime() < untilNanos) {
+                Thread.onSpinWait();
+            }
+        });
+        await(blocked);
+        try {
+            send.run();
+            for (int i = 0; i < TASKS_BEFORE_LIMIT; i++) {
+                loop.execute(() -> {});
+            }
+            int queuedTasks = loop.pendingTasks();
+            enqueue.run();
+            await("the task is queued", () -> loop.pendingTasks() > queuedTasks);
+        } finally {
+            release.countDown();
+        }
+    }
+
     /** Waits for a latch; fails after {@link #AWAIT_TIMEOUT_MS}. */
     static void await(CountDownLatch latch) {
         try {
