End a response half a second after its request's time, whole or visibly truncated

Cause: two rules, one of them without an end. A response that was still arriving at the deadline was begun to be passed on, and what was begun, then or earlier, ended only after 10 s without a byte.

Change: at the deadline nothing is begun any more. A response that arrives is collected for 350 ms longer and passed on if it is whole by then, else the request fails with a whole response, which also spares the requests behind it on the connection. A response that was begun earlier is truncated 350 ms after the deadline; time in which its client takes no more does not count, so late readers get what has arrived. A shutdown leaves no grace.

--- a/sidecar/src/main/java/martenlatch/frontend/http/CompleteBody.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/CompleteBody.java
@@ -30,6 +30,9 @@
         send();
     }
 
+    @Override
+    public void setArrivalDeadline(double deadlineMs) {}
+
     @Override
     public void pause(boolean pauseRequested) {
         paused = pauseRequested;
--- a/sidecar/src/main/java/martenlatch/request/RemainingBody.java
+++ b/sidecar/src/main/java/martenlatch/request/RemainingBody.java
@@ -18,6 +18,12 @@
     /** Passes the parts that have arrived and all further ones to {@code receiver}; must be called only once. */
     void transferTo(Receiver receiver);
 
+    /**
+     * Truncates the body if it has not arrived by this time. Time during which it is not read, as its receiver takes no
+     * more, does not count.
+     */
+    void setArrivalDeadline(double deadlineMs);
+
     /** Pauses or resumes reading the body. */
     void pause(boolean paused);
 
--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -30,6 +30,11 @@
     private static final double DEADLINE_SLACK_MS = 5;
     /** A response is still arriving if its last bytes came within this time. */
     private static final double RESPONSE_PROGRESS_MS = 500;
+    /**
+     * The time after the deadline within which a response that has begun may become whole. It ends well before half a
+     * second after the client's time, when the response would count as lost.
+     */
+    private static final double RESPONSE_GRACE_MS = 350;
     /** The delay before the local agent is polled again after a failed poll, used if lists are pushed. */
     private static final int PUSHED_LIST_RETRY_MS = 100;
 
@@ -48,6 +53,8 @@
     private final Map<String, PendingRequest> pending = new HashMap<>();
     private BalancerSettings settings;
     private boolean knowsEndpoints;
+    /** The time by which every request must have its final answer; infinite unless this process is shutting down. */
+    private double latestDeadlineMs = Double.POSITIVE_INFINITY;
 
     /**
      * Creates a tracker without requests.
@@ -273,6 +280,7 @@
      * {@link #onRequestComplete} and {@link #onRequestMayBeComplete}.
      */
     public void capDeadlines(double latestMs) {
+        latestDeadlineMs = latestMs;
         for (PendingRequest request : pending.values()) {
             if (request.concluded) {
                 continue;
@@ -330,12 +338,25 @@
     }
 
     private void failAfterDeadline(PendingRequest request) {
-        if (!request.concluded) {
+        if (request.concluded) {
+            return;
+        }
+        double remainingMs = responseDueMs(request) + DEADLINE_SLACK_MS - scheduler.now();
+        if (remainingMs > 0 && isAwaitingResponse(request)) {
+            request.deadlineTimer = scheduler.after(remainingMs, () -> failAfterDeadline(request));
+        } else {
             logger.log("no decision by the deadline", request.id());
             failWithoutBalancer(request);
         }
     }
 
+    /** Returns whether an attempt of the request waits for the rest of a response. */
+    private static boolean isAwaitingResponse(PendingRequest request) {
+        return request.attempts.stream()
+                .anyMatch(attempt -> !attempt.ended
+                        && attempt.transportAttempt.responseProgress().isPresent());
+    }
+
     /** Fails a request without a decision of the load balancer, and reports it to the balancer as disconnected. */
     private void failWithoutBalancer(PendingRequest request) {
         conclude(request, Conclusion.FAILED, 0);
@@ -482,7 +503,7 @@
 
     /**
      * Ends an attempt whose time is up, unless its response has begun. Such a response is waited for until the deadline
-     * of the request, because the endpoint has executed the request and the client still waits.
+     * of the request and shortly after it, because the endpoint has executed the request and the client still waits.
      */
     private void onTimeout(PendingRequest request, PendingAttempt attempt) {
         Optional<ResponseProgress> response =
@@ -496,23 +517,34 @@
         if (remainingMs > 0) {
             startTimeoutTimer(request, attempt, remainingMs);
         } else {
-            endResponseAtDeadline(request, attempt, response.get());
+            awaitResponseAfterDeadline(request, attempt, response.get());
         }
     }
 
-    /** Passes on a response that is arriving when its request's time is up; fails one that has stopped arriving. */
-    private void endResponseAtDeadline(PendingRequest request, PendingAttempt attempt, ResponseProgress response) {
-        double idleMs = scheduler.now() - response.lastBytesAtMs();
-        if (idleMs < RESPONSE_PROGRESS_MS) {
-            attempt.transportAttempt.streamResponse();
+    /**
+     * Waits for a response that is arriving when its request's time is up, as long as the client may still get it
+     * whole; gives up one that has stopped arriving. Nothing was passed on yet, so the request then fails with a whole
+     * response.
+     */
+    private void awaitResponseAfterDeadline(PendingRequest request, PendingAttempt attempt, ResponseProgress response) {
+        double now = scheduler.now();
+        double idleMs = now - response.lastBytesAtMs();
+        double waitMs = Math.min(responseDueMs(request) - now, RESPONSE_PROGRESS_MS - idleMs);
+        if (waitMs > 0) {
+            startTimeoutTimer(request, attempt, waitMs);
         } else {
             logger.log(
-                    "response stopped arriving",
-                    request.id() + " from " + attempt.endpointId + " for " + idleMs + " ms");
+                    "response not complete in time",
+                    request.id() + " from " + attempt.endpointId + ", nothing for " + idleMs + " ms");
             giveUp(request, attempt, AttemptOutcome.TIMED_OUT);
         }
     }
 
+    /** Returns the time by which the client must have the whole response of an endpoint, or the end of a begun one. */
+    private double responseDueMs(PendingRequest request) {
+        return Math.min(request.deadlineMs + RESPONSE_GRACE_MS, Math.max(request.deadlineMs, latestDeadlineMs));
+    }
+
     private void onResponse(
             PendingRequest request, PendingAttempt attempt, AttemptOutcome outcome, EndpointResponse response) {
         if (response != null && response.remainingBody() != null) {
@@ -532,6 +564,9 @@
     private void deliver(PendingRequest request, AttemptOutcome outcome, EndpointResponse response) {
         if (outcome == AttemptOutcome.OK) {
             conclude(request, Conclusion.SERVED, 0);
+            if (response.remainingBody() != null) {
+                response.remainingBody().setArrivalDeadline(responseDueMs(request));
+            }
             request.listener.onServed(response);
         } else if (outcome == AttemptOutcome.NOT_EXECUTED) {
             conclude(request, Conclusion.TURNED_AWAY, 0);
--- a/sidecar/src/main/java/martenlatch/request/Transport.java
+++ b/sidecar/src/main/java/martenlatch/request/Transport.java
@@ -18,14 +18,6 @@
         default Optional<ResponseProgress> responseProgress() {
             return Optional.empty();
         }
-
-        /**
-         * Ends the attempt with the response that has begun, whose remaining body follows while it arrives. Must be
-         * called only if there is a {@link #responseProgress}.
-         */
-        default void streamResponse() {
-            throw new IllegalStateException("no response has begun");
-        }
     }
 
     /**
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointAttempt.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointAttempt.java
@@ -131,11 +131,6 @@
         return connection == null || !written ? Optional.empty() : connection.responseProgress();
     }
 
-    @Override
-    public void streamResponse() {
-        connection.streamResponse();
-    }
-
     /** Notifies the listener of the result, unless it was already notified or the attempt was given up. */
     void finish(AttemptOutcome outcome, EndpointResponse response) {
         Transport.AttemptListener notified = listener;
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointConnection.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointConnection.java
@@ -227,11 +227,6 @@
         return decoder.responseProgress();
     }
 
-    /** Passes on the response that has begun; its attempt ends before this method returns. */
-    void streamResponse() {
-        decoder.streamResponse();
-    }
-
     @Override
     public void onResponse(EndpointResponse response, boolean clean) {
         EndpointAttempt ended = attempt;
--- a/sidecar/src/main/java/martenlatch/upstream/ResponseDecoder.java
+++ b/sidecar/src/main/java/martenlatch/upstream/ResponseDecoder.java
@@ -119,11 +119,6 @@
                 : Optional.empty();
     }
 
-    /** Reports the response that has begun and is being collected; the rest of its body is streamed. */
-    public void streamResponse() {
-        startStreaming();
-    }
-
     private boolean isComplete() {
         return completeResponse != null || streamComplete;
     }
--- a/sidecar/src/main/java/martenlatch/upstream/StreamedResponse.java
+++ b/sidecar/src/main/java/martenlatch/upstream/StreamedResponse.java
@@ -34,6 +34,13 @@
     private Receiver receiver;
     private Scheduler.Timer stallTimer;
     private double lastPartAtMs;
+    /** The time by which the body must have arrived if it is read from now on without a pause. */
+    private double arrivalDeadlineMs = Double.POSITIVE_INFINITY;
+    /** Runs while the body is read and has an arrival deadline; else null. */
+    private Scheduler.Timer arrivalTimer;
+    /** The time since which the body is not read; NaN while it is read. */
+    private double unreadSinceMs;
+
     private boolean paused;
     /** Whether parts are being passed to the receiver. */
     private boolean sending;
@@ -49,6 +56,7 @@
         this.scheduler = scheduler;
         lastPartAtMs = scheduler.now();
         // Reading stops until a receiver is set.
+        unreadSinceMs = lastPartAtMs;
         connection.setReading(false);
         startStallTimer();
     }
@@ -70,6 +78,41 @@
         return length;
     }
 
+    @Override
+    public void setArrivalDeadline(double deadlineMs) {
+        arrivalDeadlineMs = deadlineMs;
+        stopArrivalTimer();
+        startArrivalTimer();
+    }
+
+    private void startArrivalTimer() {
+        if (!ended && Double.isNaN(unreadSinceMs) && arrivalDeadlineMs < Double.POSITIVE_INFINITY) {
+            arrivalTimer = scheduler.after(arrivalDeadlineMs - scheduler.now(), connection::close);
+        }
+    }
+
+    private void stopArrivalTimer() {
+        if (arrivalTimer != null) {
+            arrivalTimer.cancel();
+            arrivalTimer = null;
+        }
+    }
+
+    /** Resumes or pauses reading; the arrival deadline moves by the time during which nothing was read. */
+    private void setReading(boolean reading) {
+        double nowMs = scheduler.now();
+        boolean wasReading = Double.isNaN(unreadSinceMs);
+        if (reading && !wasReading) {
+            arrivalDeadlineMs += Math.max(0, nowMs - unreadSinceMs);
+            unreadSinceMs = Double.NaN;
+            startArrivalTimer();
+        } else if (!reading && wasReading) {
+            unreadSinceMs = nowMs;
+            stopArrivalTimer();
+        }
+        connection.setReading(reading);
+    }
+
     /** Called when the next part has been received. */
     void onPart(byte[] bytes) {
         lastPartAtMs = scheduler.now();
@@ -93,7 +136,7 @@
             receiver = null;
             finished.onEnd(complete);
         } else if (!ended) {
-            connection.setReading(!paused && parts.isEmpty());
+            setReading(!paused && parts.isEmpty());
         }
     }
 
@@ -105,6 +148,7 @@
         ended = true;
         complete = bodyComplete;
         stallTimer.cancel();
+        stopArrivalTimer();
         if (!complete) {
             // What is left of a truncated body is of no use to the client, which must see that it is truncated.
             parts.clear();
@@ -131,6 +175,7 @@
         if (!ended) {
             ended = true;
             stallTimer.cancel();
+            stopArrivalTimer();
             connection.close();
         }
     }
