Reset the connection of a close-delimited response that any end cuts, also that of the process

A response whose end is the connection's end looked whole where the process ended while it was passed on (drain timed out, stop): the close sent a FIN. The reset was set only where the response's own end was noticed. It is set now while such a response is passed on, and taken back when it is complete. SlowResponseBodiesTest.endOfProcessResetsConnectionOfCloseDelimitedResponse.

--- a/sidecar/src/main/java/martenlatch/frontend/http/ResponseQueue.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ResponseQueue.java
@@ -21,6 +21,9 @@
         void onReadyWritten();
     }
 
+    /** The value of SO_LINGER that disables it. */
+    private static final int NO_LINGER = -1;
+
     private final SocketChannel channel;
     private final FrontendState state;
     private final Listener listener;
@@ -90,6 +93,7 @@
         RemainingBody remainingBody = next.remainingBody();
         if (remainingBody != null) {
             streaming = next;
+            resetOnClose(next, true);
         } else {
             pending.poll();
         }
@@ -120,20 +124,24 @@
         streaming = null;
         pending.poll();
         if (complete) {
+            resetOnClose(response, false);
             closeIfLast(response, channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
             writeReady();
         } else {
-            abort(response);
+            // The client detects that the body is truncated.
+            channel.close();
         }
         return true;
     }
 
-    /** Closes the connection so that the client detects a truncated body; a close-delimited body requires a reset. */
-    private void abort(PendingResponse response) {
+    /**
+     * Sets whether closing the connection resets it if its end marks the end of the body. Until the body is complete it
+     * does, whoever closes it and if the process ends, so that the client detects a truncated body.
+     */
+    private void resetOnClose(PendingResponse response, boolean reset) {
         if (response.isCloseDelimited()) {
-            channel.config().setSoLinger(0);
+            channel.config().setSoLinger(reset ? 0 : NO_LINGER);
         }
-        channel.close();
     }
 
     /** Pauses the streamed body while the channel is not writable; goes on writing afterwards. */
--- a/sidecar/src/test/java/martenlatch/sidecar/SlowResponseBodiesTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SlowResponseBodiesTest.java
@@ -194,6 +194,19 @@
         }
     }
 
+    /** Guards against a truncated response that looks whole, as the process ends while it is passed on. */
+    @Test
+    void endOfProcessResetsConnectionOfCloseDelimitedResponse() throws Exception {
+        start((connection, request) -> writeEndlessly(connection, "close", 70_000, 20));
+        try (RawHttpClient client = fixture.client()) {
+            client.send(fixture.request("order", DEADLINE_MS).replace("POST /api?q=1 HTTP/1.1", requestLine("close")));
+            RawHttpClient.Message head = client.readHead();
+            assertEquals(200, head.status());
+            fixture.sidecar.stop();
+            assertThrows(IOException.class, () -> client.readBody(head), "the client cannot tell");
+        }
+    }
+
     /** A body of unknown length is delimited by the end of the connection for a client of HTTP/1.0. */
     private static String requestLine(String framing) {
         return "POST /api?q=1 HTTP/1." + (framing.equals("close") ? 0 : 1);
