--- a/sidecar/src/test/java/martenlatch/sidecar/SidecarProcess.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SidecarProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.BufferedReader;
 import java.io.Closeable;
+import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
@@ -65,7 +66,7 @@
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(deployedJvmOptions());
         command.addAll(List.of(jvmOptions));
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "martenlatch.cli.Main", "serve"));
+        command.addAll(List.of("-cp", classPath(), "martenlatch.cli.Main", "serve"));
         Path config = Files.writeString(Files.createTempFile(folder, "config", ".json"), fixture.config());
         SidecarProcess started = new SidecarProcess(folder, command, config);
         try {
@@ -77,6 +78,13 @@
         return started;
     }
 
+    /** Returns the class path. To compare versions, classes in the folder {@code sidecar.classes} go first. */
+    private static String classPath() {
+        String otherVersion = System.getProperty("sidecar.classes");
+        String classPath = System.getProperty("java.class.path");
+        return otherVersion == null ? classPath : otherVersion + File.pathSeparator + classPath;
+    }
+
     private static List<String> deployedJvmOptions() throws IOException {
         Path deployFile = Path.of("..", "deploy", "balancer.toml");
         Matcher run = Pattern.compile("(?m)^run = \"exec java (.*) serve\"$").matcher(Files.readString(deployFile));
@@ -132,7 +140,18 @@
 
     /** Sends SIGHUP. */
     void reload() throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid()))
+        signal("HUP");
+    }
+
+    /** Stops the process for a time. */
+    void holdUp(int durationMs) throws IOException, InterruptedException {
+        signal("STOP");
+        Thread.sleep(durationMs);
+        signal("CONT");
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
                 .start()
                 .waitFor();
     }
