--- a/sidecar/src/test/java/martenlatch/sidecar/AnswerTableTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/AnswerTableTest.java
@@ -5,6 +5,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import martenlatch.sidecar.WaitingClient.Conduct;
@@ -105,8 +107,10 @@
         private final TableEndpoints endpoints = new TableEndpoints();
         private final AnswerJudge judge;
         private final SidecarFixture fixture;
-        private final List<String> violations = new CopyOnWriteArrayList<>();
-        private final List<Cell> inconclusive = new CopyOnWriteArrayList<>();
+        private final Map<Cell, List<WaitingClient.Observation>> observations = new ConcurrentHashMap<>();
+        private final List<String> testFailures = new CopyOnWriteArrayList<>();
+        private final List<String> violations = new ArrayList<>();
+        private final List<Cell> inconclusive = new ArrayList<>();
         private final List<Thread> threads = new ArrayList<>();
         private SidecarProcess process;
         private HealthChecks healthChecks;
@@ -137,6 +141,10 @@
             for (Thread thread : threads) {
                 thread.join(SidecarFixture.AWAIT_TIMEOUT_MS);
             }
+            healthChecks.close();
+            observations.forEach(this::judge);
+            assertEquals(cells.size(), observations.size() + testFailures.size(), "some clients have not ended");
+            violations.addAll(testFailures);
         }
 
         private void warmUp() throws IOException {
@@ -163,9 +171,9 @@
                     () -> {
                         try {
                             sleepUntil(index * SEND_INTERVAL_MS);
-                            play(cells.get(index), client);
+                            observations.put(cells.get(index), client.run());
                         } catch (Exception e) {
-                            violations.add("the test failed: " + e);
+                            testFailures.add("the test failed: " + e);
                         }
                     },
                     "table",
@@ -175,8 +183,7 @@
             thread.start();
         }
 
-        private void play(Cell cell, WaitingClient client) throws Exception {
-            List<WaitingClient.Observation> seen = client.run();
+        private void judge(Cell cell, List<WaitingClient.Observation> seen) {
             List<String> violated = judge.judge(cell.conduct, seen);
             boolean forwarded = judge.wasForwarded(cell.conduct, seen);
             if (!forwarded || (!violated.isEmpty() && wasHeldUp(seen.get(0)))) {
@@ -187,7 +194,7 @@
         }
 
         /** Returns whether the machine held up the process or the clients around the end of a request's time. */
-        private boolean wasHeldUp(WaitingClient.Observation seen) throws InterruptedException {
+        private boolean wasHeldUp(WaitingClient.Observation seen) {
             long timeUpNanos = seen.sentNanos()
                     + TimeUnit.MILLISECONDS.toNanos(seen.request().timeMs());
             long untilNanos = timeUpNanos + TimeUnit.MILLISECONDS.toNanos(60);
@@ -218,9 +225,6 @@
 
         @Override
         public void close() throws Exception {
-            if (healthChecks != null) {
-                healthChecks.close();
-            }
             if (process != null) {
                 process.close();
             }
--- a/sidecar/src/test/java/martenlatch/sidecar/HealthChecks.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/HealthChecks.java
@@ -19,43 +19,54 @@
     private record SlowCheck(long startedNanos, long endedNanos) {}
 
     private final RawHttpClient client;
+    private final Thread thread;
+    private long startedNanos = System.nanoTime();
     private final List<SlowCheck> slowChecks = new CopyOnWriteArrayList<>();
 
     HealthChecks(InetSocketAddress address) throws IOException {
         client = RawHttpClient.connect(address);
-        Thread thread = new Thread(this::run, "health-checks");
+        thread = new Thread(this::run, "health-checks");
         thread.setDaemon(true);
         thread.start();
     }
 
     private void run() {
-        long startedNanos = System.nanoTime();
         try {
             while (true) {
                 Thread.sleep(INTERVAL_MS);
                 client.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").read();
-                long endedNanos = System.nanoTime();
-                if (endedNanos - startedNanos > MAX_NANOS) {
-                    slowChecks.add(new SlowCheck(startedNanos, endedNanos));
-                }
-                startedNanos = endedNanos;
+                onEnded();
             }
         } catch (IOException e) {
             // The process or the test has ended.
-            return;
+            onEnded();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private void onEnded() {
+        long endedNanos = System.nanoTime();
+        if (endedNanos - startedNanos > MAX_NANOS) {
+            slowChecks.add(new SlowCheck(startedNanos, endedNanos));
+        }
+        startedNanos = endedNanos;
+    }
+
     /** Returns whether a health check was held up at some time between these two on {@link System#nanoTime}. */
     boolean wereSlow(long fromNanos, long untilNanos) {
         return slowChecks.stream()
                 .anyMatch(check -> check.startedNanos - untilNanos < 0 && fromNanos - check.endedNanos < 0);
     }
 
+    /** Ends the checks; one that is under way counts. */
     @Override
     public void close() throws IOException {
         client.close();
+        try {
+            thread.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
