Give a final answer in the client's time where an arriving response is not whole

Callers saw no byte of an answer where an endpoint had begun to respond and did not end: at the deadline (the client's time less 4 %, at most 40 ms) the request waited up to 350 ms more for a response of which nothing was passed on. It now waits for half of that margin only, so that the whole failure still arrives in time. A response that is being passed on ends as before. Such an attempt counts as timed out with the time that it took, not with the time to its head, which had made an endpoint that trickles look fast.

--- a/sidecar/src/main/java/martenlatch/frontend/RequestParser.java
+++ b/sidecar/src/main/java/martenlatch/frontend/RequestParser.java
@@ -35,6 +35,8 @@
     private static final double RESPONSE_MARGIN_SHARE = 0.04;
 
     private static final double MAX_RESPONSE_MARGIN_MS = 40;
+    /** The share of that margin within which a response that is arriving from an endpoint is waited for. */
+    private static final double ANSWER_SLACK_SHARE = 0.5;
 
     private final Map<String, Integer> classIndexes = new HashMap<>();
     private final Map<String, Integer> tenantIndexes = new HashMap<>();
@@ -77,7 +79,8 @@
                 Math.min((double) requestedMs, classes.get(classIndex).deadlineMs());
         double marginMs = Math.min(MAX_RESPONSE_MARGIN_MS, allowedMs * RESPONSE_MARGIN_SHARE);
         double deadlineMs = Math.min(nowMs + allowedMs - marginMs, maxDeadlineMs);
-        return new Request(id, classIndex, tenantIndex, deadlineMs, "1".equals(head.first(RETRY_HEADER)));
+        boolean clientRetry = "1".equals(head.first(RETRY_HEADER));
+        return new Request(id, classIndex, tenantIndex, deadlineMs, marginMs * ANSWER_SLACK_SHARE, clientRetry);
     }
 
     private static void require(boolean condition, String message) throws InvalidRequestException {
--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -28,13 +28,11 @@
 
     /** The time after its deadline at which a request fails if the balancer has not concluded it. */
     private static final double DEADLINE_SLACK_MS = 5;
-    /** A response is still arriving if its last bytes came within this time. */
-    private static final double RESPONSE_PROGRESS_MS = 500;
     /**
-     * The time after the deadline within which a response that has begun may become whole. It ends well before half a
-     * second after the client's time, when the response would count as lost.
+     * The time after the deadline within which a response that is being passed on may become whole. It ends well before
+     * half a second after the client's time, when the response would count as lost.
      */
-    private static final double RESPONSE_GRACE_MS = 350;
+    private static final double STREAM_GRACE_MS = 350;
     /** The delay before the local agent is polled again after a failed poll, used if lists are pushed. */
     private static final int PUSHED_LIST_RETRY_MS = 100;
 
@@ -341,7 +339,7 @@
         if (request.concluded) {
             return;
         }
-        double remainingMs = responseDueMs(request) + DEADLINE_SLACK_MS - scheduler.now();
+        double remainingMs = finalAnswerDueMs(request) + DEADLINE_SLACK_MS - scheduler.now();
         if (remainingMs > 0 && isAwaitingResponse(request)) {
             request.deadlineTimer = scheduler.after(remainingMs, () -> failAfterDeadline(request));
         } else {
@@ -502,47 +500,35 @@
     }
 
     /**
-     * Ends an attempt whose time is up, unless its response has begun. Such a response is waited for until the deadline
-     * of the request and shortly after it, because the endpoint has executed the request and the client still waits.
+     * Ends an attempt whose time is up, unless its response has begun. Such a response is waited for as long as the
+     * client can get a final answer in time, because the endpoint has executed the request. Nothing of it was passed
+     * on, so the request then fails with a whole response.
      */
     private void onTimeout(PendingRequest request, PendingAttempt attempt) {
         Optional<ResponseProgress> response =
                 attempt.ended || request.concluded ? Optional.empty() : attempt.transportAttempt.responseProgress();
-        if (response.isEmpty()) {
-            giveUp(request, attempt, AttemptOutcome.TIMED_OUT);
-            return;
-        }
-        attempt.responseLatencyMs = response.get().startedAtMs() - attempt.startedAtMs;
-        double remainingMs = request.deadlineMs - scheduler.now();
-        if (remainingMs > 0) {
+        double remainingMs = finalAnswerDueMs(request) - scheduler.now();
+        if (response.isPresent() && remainingMs > 0) {
+            attempt.responseLatencyMs = response.get().startedAtMs() - attempt.startedAtMs;
             startTimeoutTimer(request, attempt, remainingMs);
         } else {
-            awaitResponseAfterDeadline(request, attempt, response.get());
+            attempt.responseLatencyMs = Double.NaN;
+            giveUp(request, attempt, AttemptOutcome.TIMED_OUT);
         }
     }
 
-    /**
-     * Waits for a response that is arriving when its request's time is up, as long as the client may still get it
-     * whole; gives up one that has stopped arriving. Nothing was passed on yet, so the request then fails with a whole
-     * response.
-     */
-    private void awaitResponseAfterDeadline(PendingRequest request, PendingAttempt attempt, ResponseProgress response) {
-        double now = scheduler.now();
-        double idleMs = now - response.lastBytesAtMs();
-        double waitMs = Math.min(responseDueMs(request) - now, RESPONSE_PROGRESS_MS - idleMs);
-        if (waitMs > 0) {
-            startTimeoutTimer(request, attempt, waitMs);
-        } else {
-            logger.log(
-                    "response not complete in time",
-                    request.id() + " from " + attempt.endpointId + ", nothing for " + idleMs + " ms");
-            giveUp(request, attempt, AttemptOutcome.TIMED_OUT);
-        }
+    /** Returns the time by which a final answer has to be given so that it reaches the client in time. */
+    private double finalAnswerDueMs(PendingRequest request) {
+        return Math.min(request.deadlineMs + request.request.answerSlackMs(), latestDueMs(request));
+    }
+
+    /** Returns the time by which a response that is being passed on has to end. */
+    private double streamDueMs(PendingRequest request) {
+        return Math.min(request.deadlineMs + STREAM_GRACE_MS, latestDueMs(request));
     }
 
-    /** Returns the time by which the client must have the whole response of an endpoint, or the end of a begun one. */
-    private double responseDueMs(PendingRequest request) {
-        return Math.min(request.deadlineMs + RESPONSE_GRACE_MS, Math.max(request.deadlineMs, latestDeadlineMs));
+    private double latestDueMs(PendingRequest request) {
+        return Math.max(request.deadlineMs, latestDeadlineMs);
     }
 
     private void onResponse(
@@ -565,7 +551,7 @@
         if (outcome == AttemptOutcome.OK) {
             conclude(request, Conclusion.SERVED, 0);
             if (response.remainingBody() != null) {
-                response.remainingBody().setArrivalDeadline(responseDueMs(request));
+                response.remainingBody().setArrivalDeadline(streamDueMs(request));
             }
             request.listener.onServed(response);
         } else if (outcome == AttemptOutcome.NOT_EXECUTED) {
