Soak: answers that do not end, and clients that leave just after their time

One in eight answers trickles; its client leaves 60 to 160 ms after its time if nothing of an answer has come, and the begun ones have to be cut visibly within half a second.

--- a/sidecar/src/test/java/martenlatch/sidecar/SoakClient.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SoakClient.java
@@ -20,6 +20,10 @@
     private static final List<String> CLASSES = List.of("read", "order", "move");
     /** An answer may be this late before it counts as lost. */
     private static final int LATE_ANSWER_MS = 500;
+    /** How long after its time a client leaves that has nothing of an answer from an endpoint that does not end it. */
+    private static final int LEAVE_AFTER_MS = 60;
+
+    private static final int MAX_LEAVE_AFTER_MS = 160;
 
     private static final int MIN_DEADLINE_MS = 1500;
     private static final int MAX_DEADLINE_MS = 3000;
@@ -94,14 +98,16 @@
         checkExecutions(id, requestClass);
     }
 
-    /** Returns a random plan whose answer is complete well before the deadline. */
+    /** Returns a random plan whose answer is complete well before the deadline, or never. */
     private Plan randomPlan(int deadlineMs) {
         String framing = FRAMINGS.get(random.nextInt(FRAMINGS.size()));
-        return switch (random.nextInt(4)) {
-            case 0 -> new Plan(framing, 20 + random.nextInt(500), 1, random.nextInt(40));
-            case 1 -> new Plan(framing, 1000 + random.nextInt(250_000), 10, 10 + random.nextInt(deadlineMs / 20));
-            case 2 -> new Plan(framing, 200 + random.nextInt(70_000), 2, 100 + random.nextInt(deadlineMs / 4));
-            default -> new Plan("length", 20, 1, 5);
+        return switch (random.nextInt(8)) {
+            case 0, 1 -> new Plan(framing, 20 + random.nextInt(500), 1, random.nextInt(40), true);
+            case 2, 3 ->
+                new Plan(framing, 1000 + random.nextInt(250_000), 10, 10 + random.nextInt(deadlineMs / 20), true);
+            case 4, 5 -> new Plan(framing, 200 + random.nextInt(70_000), 2, 100 + random.nextInt(deadlineMs / 4), true);
+            case 6 -> new Plan(framing, 2 + random.nextInt(200_000), 1, 50, false);
+            default -> new Plan("length", 20, 1, 5, true);
         };
     }
 
@@ -131,7 +137,8 @@
         long sentNanos = System.nanoTime();
         RawHttpClient.Message head;
         try {
-            connection.socket.setSoTimeout(deadlineMs + LATE_ANSWER_MS);
+            int leaveAfterMs = LEAVE_AFTER_MS + random.nextInt(MAX_LEAVE_AFTER_MS - LEAVE_AFTER_MS);
+            connection.socket.setSoTimeout(deadlineMs + (plan.ends() ? LATE_ANSWER_MS : leaveAfterMs));
             connection.send(request(id, requestClass, deadlineMs, plan));
             head = connection.readHead();
         } catch (java.net.SocketTimeoutException e) {
@@ -143,11 +150,12 @@
             return false;
         }
         try {
-            byte[] body = connection.readBody(head);
+            byte[] body = readBody(head, sentNanos, deadlineMs);
             judge(id, requestClass, plan, head.status(), body, SidecarFixture.elapsedMs(sentNanos) - deadlineMs);
         } catch (IOException e) {
-            if (System.nanoTime() < killNanos.get()) {
-                violate(id, "answer cut: " + e + ", " + requestClass + " " + plan);
+            double lateMs = SidecarFixture.elapsedMs(sentNanos) - deadlineMs;
+            if (System.nanoTime() < killNanos.get() && (plan.ends() || lateMs > LATE_ANSWER_MS)) {
+                violate(id, "answer cut " + lateMs + " ms after its time: " + e + ", " + requestClass + " " + plan);
             }
             disconnect();
             return true;
@@ -158,6 +166,20 @@
         return true;
     }
 
+    private byte[] readBody(RawHttpClient.Message head, long sentNanos, int deadlineMs) throws IOException {
+        try {
+            return connection.readBody(head, totalBytes -> {
+                if (SidecarFixture.elapsedMs(sentNanos) > deadlineMs + LATE_ANSWER_MS) {
+                    throw new IOException("the answer does not end");
+                }
+            });
+        } catch (IOException e) {
+            throw e;
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     private static String request(String id, String requestClass, int deadlineMs, Plan plan) {
         String head = "/api HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id + "\r\nX-Class: " + requestClass
                 + "\r\nX-Deadline-Ms: " + deadlineMs + "\r\n" + SoakEndpoint.PLAN_HEADER + ": " + plan + "\r\n";
@@ -174,7 +196,7 @@
         }
         if (status == 200) {
             served.incrementAndGet();
-            if (!Arrays.equals(body, SoakEndpoint.body(id, plan.size()))) {
+            if (!plan.ends() || !Arrays.equals(body, SoakEndpoint.body(id, plan.size()))) {
                 violate(id, "another body, " + body.length + " bytes, " + requestClass + " " + plan);
             }
         } else if (endpoints.wasWrittenWhole(id)) {
--- a/sidecar/src/test/java/martenlatch/sidecar/SoakEndpoint.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SoakEndpoint.java
@@ -20,17 +20,22 @@
      * @param size the size of the body in bytes
      * @param parts the number of parts in which the body is written
      * @param pauseMs the pause before each part, in milliseconds
+     * @param ends whether the answer ends; if not, half of the body is written and then a byte at a time
      */
-    record Plan(String framing, int size, int parts, int pauseMs) {
+    record Plan(String framing, int size, int parts, int pauseMs, boolean ends) {
         static Plan parse(String text) {
-            String[] fields = text.split(",", 4);
+            String[] fields = text.split(",", 5);
             return new Plan(
-                    fields[0], Integer.parseInt(fields[1]), Integer.parseInt(fields[2]), Integer.parseInt(fields[3]));
+                    fields[0],
+                    Integer.parseInt(fields[1]),
+                    Integer.parseInt(fields[2]),
+                    Integer.parseInt(fields[3]),
+                    Boolean.parseBoolean(fields[4]));
         }
 
         @Override
         public String toString() {
-            return framing + "," + size + "," + parts + "," + pauseMs;
+            return framing + "," + size + "," + parts + "," + pauseMs + "," + ends;
         }
 
         int durationMs() {
@@ -56,7 +61,7 @@
         String id = request.headers().get("x-request-id");
         executions.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
         String planText = request.headers().get("x-plan");
-        Plan plan = planText == null ? new Plan("length", 10, 1, 0) : Plan.parse(planText);
+        Plan plan = planText == null ? new Plan("length", 10, 1, 0, true) : Plan.parse(planText);
         byte[] body = body(id, plan.size());
         connection.send(LongBodies.OK
                 + switch (plan.framing()) {
@@ -64,6 +69,9 @@
                     case "chunked" -> "Transfer-Encoding: chunked\r\n\r\n";
                     default -> "Connection: close\r\n\r\n";
                 });
+        if (!plan.ends()) {
+            writeEndlessly(connection, plan, body);
+        }
         for (int i = 0; i < plan.parts(); i++) {
             Thread.sleep(plan.pauseMs());
             int from = plan.size() * i / plan.parts();
@@ -79,6 +87,15 @@
         }
     }
 
+    /** Writes half of a body, and then a byte at a time until the connection ends. */
+    private static void writeEndlessly(RawHttpClient connection, Plan plan, byte[] body) throws Exception {
+        writePart(connection, plan, body, 0, body.length / 2);
+        while (true) {
+            Thread.sleep(plan.pauseMs());
+            writePart(connection, plan, body, 0, 1);
+        }
+    }
+
     private static void writePart(RawHttpClient connection, Plan plan, byte[] body, int from, int to)
             throws IOException {
         if (from == to) {
