--- a/sidecar/src/test/java/martenlatch/sidecar/SoakEndpoint.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/SoakEndpoint.java
@@ -23,6 +23,11 @@
      * @param ends whether the answer ends; if not, half of the body is written and then a byte at a time
      */
     record Plan(String framing, int size, int parts, int pauseMs, boolean ends) {
+        /** Creates a plan whose answer ends. */
+        Plan(String framing, int size, int parts, int pauseMs) {
+            this(framing, size, parts, pauseMs, true);
+        }
+
         static Plan parse(String text) {
             String[] fields = text.split(",", 5);
             return new Plan(
@@ -61,7 +66,7 @@
         String id = request.headers().get("x-request-id");
         executions.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
         String planText = request.headers().get("x-plan");
-        Plan plan = planText == null ? new Plan("length", 10, 1, 0, true) : Plan.parse(planText);
+        Plan plan = planText == null ? new Plan("length", 10, 1, 0) : Plan.parse(planText);
         byte[] body = body(id, plan.size());
         connection.send(LongBodies.OK
                 + switch (plan.framing()) {
