Learn from responses that do not end; log each request that ends without a whole one

Endpoints that trickle got a request whenever a slot was free: their attempt had ended well, or as canceled by the client, with the latency to its head. Now an attempt that is canceled after its request's time counts as timed out; a response that is passed on from its beginning counts as good only once it is complete, and as a failure if it is truncated, too late, or its client leaves after its time while it arrives. A client that leaves before its time, or takes no output, still counts for nothing.

--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
@@ -171,9 +171,9 @@
         return channel.isActive();
     }
 
-    /** Returns whether the channel accepts more output without exceeding its write buffer limit. */
+    /** Returns whether the channel accepts more output; a closed one discards it. */
     boolean isWritable() {
-        return channel.isWritable();
+        return channel.isWritable() || !channel.isActive();
     }
 
     void write(HttpContent content) {
--- a/sidecar/src/main/java/martenlatch/frontend/http/CompleteBody.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/CompleteBody.java
@@ -43,6 +43,10 @@
     @Override
     public void setArrivalDeadline(double deadlineMs) {}
 
+    /** The endpoint has ended the body before this object was created. */
+    @Override
+    public void setEndListener(EndListener listener) {}
+
     @Override
     public void pause(boolean pauseRequested) {
         paused = pauseRequested;
--- a/sidecar/src/main/java/martenlatch/frontend/http/ResponseQueue.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ResponseQueue.java
@@ -154,6 +154,10 @@
 
     /** Pauses the streamed body while the channel is not writable; goes on writing afterwards. */
     void onWritabilityChanged() {
+        if (!channel.isActive()) {
+            // A closed channel is not writable, which says nothing about the client's reading.
+            return;
+        }
         if (streaming != null && streaming.remainingBody() != null) {
             streaming.remainingBody().pause(!channel.isWritable());
         }
--- a/sidecar/src/main/java/martenlatch/policy/LoadBalancer.java
+++ b/sidecar/src/main/java/martenlatch/policy/LoadBalancer.java
@@ -155,7 +155,9 @@
         admission.onAttemptFinished(nowMs, result.durationMs());
         recordLatency(nowMs, pending, attempt.slot().endpoint, result);
         limiter.onAttemptFinished(nowMs, pending, attempt, result);
-        outliers.onAttemptFinished(nowMs, attempt.slot(), result.outcome(), isFailure(pending, result));
+        boolean responseComplete = !pending.begunResponses.get(result.attempt());
+        outliers.onAttemptFinished(
+                nowMs, attempt.slot(), result.outcome(), isFailure(pending, result), responseComplete);
         registry.removeIfGone(nowMs, attempt.slot().endpoint);
         if (result.answered()) {
             pending.answered = true;
@@ -201,6 +203,24 @@
         }
     }
 
+    @Override
+    public void onResponseBegun(double nowMs, String requestId, int attempt) {
+        refillIfDue(nowMs);
+        PendingRequest pending = pendingRequests.get(requestId);
+        if (pending != null) {
+            pending.begunResponses.set(attempt);
+        }
+    }
+
+    @Override
+    public void onResponseEnded(double nowMs, String endpointId, boolean complete) {
+        refillIfDue(nowMs);
+        EndpointState endpoint = state.endpoints.get(endpointId);
+        if (endpoint != null) {
+            outliers.onResponseEnded(nowMs, endpoint, complete);
+        }
+    }
+
     @Override
     public void onClientDisconnected(double nowMs, String requestId) {
         refillIfDue(nowMs);
--- a/sidecar/src/main/java/martenlatch/policy/OutlierDetector.java
+++ b/sidecar/src/main/java/martenlatch/policy/OutlierDetector.java
@@ -24,9 +24,9 @@
 
     /**
      * Frees the slot of an attempt and updates its endpoint; {@code failed} if the endpoint is to blame for the
-     * outcome.
+     * outcome. An outcome of a response that is not complete counts once that has ended.
      */
-    void onAttemptFinished(double nowMs, Slot slot, AttemptOutcome outcome, boolean failed) {
+    void onAttemptFinished(double nowMs, Slot slot, AttemptOutcome outcome, boolean failed, boolean responseComplete) {
         EndpointState endpoint = slot.endpoint;
         slot.busy = false;
         endpoint.inFlight--;
@@ -43,10 +43,8 @@
                 eject(nowMs, endpoint);
             }
             pool.offerSpare(nowMs, endpoint);
-        } else if (outcome == AttemptOutcome.OK) {
-            endpoint.failureRate -= EndpointState.FAILURE_GAIN * endpoint.failureRate;
-            // Only a good response counts towards recovery; attempts at a hung endpoint also end, but by time-out.
-            recordRecovery(nowMs, endpoint);
+        } else if (outcome == AttemptOutcome.OK && responseComplete) {
+            recordGoodResponse(nowMs, endpoint);
         }
         if (outcome == AttemptOutcome.REJECTED_QUEUE_FULL) {
             state.counters.countQueueFull();
@@ -59,6 +57,21 @@
         }
     }
 
+    /** Only a good response counts towards recovery; attempts at a hung endpoint also end, but by time-out. */
+    private void recordGoodResponse(double nowMs, EndpointState endpoint) {
+        endpoint.failureRate -= EndpointState.FAILURE_GAIN * endpoint.failureRate;
+        recordRecovery(nowMs, endpoint);
+    }
+
+    /** Counts a response that was not complete when its attempt ended. */
+    void onResponseEnded(double nowMs, EndpointState endpoint, boolean complete) {
+        if (complete) {
+            recordGoodResponse(nowMs, endpoint);
+        } else if (!state.suspectsCommonCause() && isOutlier(endpoint, AttemptOutcome.RESET)) {
+            eject(nowMs, endpoint);
+        }
+    }
+
     /**
      * Counts a failure and returns whether to eject the endpoint. A single failed or reset response may be random, so
      * those must exceed a rate; any other failure is rarer and ejects at once.
--- a/sidecar/src/main/java/martenlatch/policy/PendingRequest.java
+++ b/sidecar/src/main/java/martenlatch/policy/PendingRequest.java
@@ -21,6 +21,7 @@
     final int maxAttempts;
     final List<Attempt> attempts = new ArrayList<>(2);
     final BitSet endedAttempts = new BitSet(); // bit i is set when attempt i has ended
+    final BitSet begunResponses = new BitSet(); // bit i is set when attempt i ends before its response is complete
     final double usefulUntilMs; // the time after which an answer is not worth waiting for
     /** True once the client has its final answer or has disconnected. */
     boolean answered;
--- a/sidecar/src/main/java/martenlatch/policy/api/BalancerEvents.java
+++ b/sidecar/src/main/java/martenlatch/policy/api/BalancerEvents.java
@@ -54,6 +54,19 @@
     /** Called when an attempt has ended. */
     void onAttemptFinished(double nowMs, AttemptResult result);
 
+    /**
+     * Called before an attempt ends as {@code OK} whose response is passed on before it is complete. Whether the
+     * endpoint has done well is only known from {@link #onResponseEnded}.
+     */
+    void onResponseBegun(double nowMs, String requestId, int attempt);
+
+    /**
+     * Called when a response has ended that was passed on before it was complete.
+     *
+     * @param complete whether it was completed; false if it was not through the endpoint's fault
+     */
+    void onResponseEnded(double nowMs, String endpointId, boolean complete);
+
     /** Called when the client of a request has disconnected; the request needs no answer any more. */
     void onClientDisconnected(double nowMs, String requestId);
 
--- a/sidecar/src/main/java/martenlatch/request/PendingAttempt.java
+++ b/sidecar/src/main/java/martenlatch/request/PendingAttempt.java
@@ -1,5 +1,7 @@
 package martenlatch.request;
 
+import martenlatch.policy.api.AttemptOutcome;
+
 /** One attempt of a pending request. */
 final class PendingAttempt {
 
@@ -18,6 +20,10 @@
     double responseLatencyMs = Double.NaN;
 
     boolean ended;
+    /** How the attempt ended; null before. */
+    AttemptOutcome outcome;
+    /** How far the response had arrived when that was last looked up; null if there was none. */
+    Transport.ResponseProgress progress;
     /** Whether it is known that the attempt was not and never will be executed. */
     boolean neverExecuted;
 
@@ -36,6 +42,13 @@
         return !ended && transportAttempt != null && transportAttempt.withdraw();
     }
 
+    /** Looks up how far the response has arrived; called before the attempt is given up, which ends the response. */
+    void updateProgress() {
+        if (!ended && transportAttempt != null) {
+            transportAttempt.responseProgress().ifPresent(current -> progress = current);
+        }
+    }
+
     void cancelTimer() {
         if (timeoutTimer != null) {
             timeoutTimer.cancel();
--- a/sidecar/src/main/java/martenlatch/request/RemainingBody.java
+++ b/sidecar/src/main/java/martenlatch/request/RemainingBody.java
@@ -3,6 +3,26 @@
 /** The part of a response body that is still to arrive and is forwarded while it arrives. */
 public interface RemainingBody {
 
+    /** How a body ended that was forwarded while it arrived. */
+    enum End {
+        /** The whole body has arrived. */
+        COMPLETE,
+        /** The endpoint ended it early, or sent what is not valid. */
+        TRUNCATED,
+        /** It had not arrived by its deadline, or had stopped arriving. */
+        TIMED_OUT,
+        /** It was still arriving when it was not needed any more, as the client had gone. */
+        INTERRUPTED,
+        /** The client took no more, and has gone or is taken for gone. */
+        NOT_TAKEN
+    }
+
+    /** Is notified of the end of a body. */
+    interface EndListener {
+        /** Called once, when the body has ended on the endpoint's side or is not needed any more. */
+        void onBodyEnd(End end);
+    }
+
     /** Receives the parts of a body in order, then its end once. */
     interface Receiver {
         /** Called with the next part; the receiver owns the array from now on. */
@@ -30,6 +50,9 @@
      */
     void setArrivalDeadline(double deadlineMs);
 
+    /** Sets who is notified of the end of the body; must be called before it can end. */
+    void setEndListener(EndListener listener);
+
     /** Pauses or resumes reading the body. */
     void pause(boolean paused);
 
--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -19,6 +19,8 @@
 import martenlatch.policy.api.RequestClass;
 import martenlatch.request.RequestObserver.Conclusion;
 import martenlatch.request.Transport.ResponseProgress;
+import martenlatch.request.UnservedRequestLog.Reason;
+import martenlatch.request.UnservedRequestLog.StreamedRequest;
 
 /**
  * Hosts the load balancer and keeps the table of pending requests and their attempts. It executes the balancer's
@@ -38,6 +40,7 @@
 
     private final Scheduler scheduler;
     private final RateLimitedLogger logger;
+    private final UnservedRequestLog unservedRequests;
     private final EndpointConnections connections;
     /** Starts a poll of the endpoint list, or a watch if its version is known. */
     private final Runnable pollEndpointList;
@@ -92,6 +95,7 @@
         this.executionHistory = executionHistory;
         this.scheduler = scheduler;
         this.logger = logger;
+        unservedRequests = new UnservedRequestLog(scheduler, logger);
         this.connections = connections;
         this.pollEndpointList = pollEndpointList;
         this.settings = settings;
@@ -311,6 +315,7 @@
             return;
         }
         conclude(request, Conclusion.GONE, 0);
+        unservedRequests.log(request, Reason.CLIENT_GONE);
         events.enqueue(request, now -> balancer.onClientDisconnected(now, requestId));
         for (PendingAttempt attempt : List.copyOf(request.attempts)) {
             if (request.bodyIncomplete) {
@@ -357,8 +362,7 @@
 
     /** Fails a request without a decision of the load balancer, and reports it to the balancer as disconnected. */
     private void failWithoutBalancer(PendingRequest request) {
-        conclude(request, Conclusion.FAILED, 0);
-        request.listener.onFailed();
+        fail(request);
         events.enqueue(request, now -> balancer.onClientDisconnected(now, request.id()));
     }
 
@@ -560,7 +564,7 @@
                     .ifPresent(progress -> attempt.responseLatencyMs = progress.startedAtMs() - attempt.startedAtMs);
         }
         if (response != null && !request.concluded) {
-            deliver(request, outcome, response);
+            deliver(request, attempt, outcome, response);
         } else if (response != null && response.remainingBody() != null) {
             response.remainingBody().abandon();
         }
@@ -568,10 +572,16 @@
     }
 
     /** Passes a response to the client if it is the final answer to the request. */
-    private void deliver(PendingRequest request, AttemptOutcome outcome, EndpointResponse response) {
+    private void deliver(
+            PendingRequest request, PendingAttempt attempt, AttemptOutcome outcome, EndpointResponse response) {
         if (outcome == AttemptOutcome.OK) {
             conclude(request, Conclusion.SERVED, 0);
             if (response.remainingBody() != null) {
+                // Does not refer to the pending request, which holds the request's body.
+                StreamedRequest streamed =
+                        new StreamedRequest(request.id(), attempt.endpointId, request.deadlineMs, scheduler.now());
+                events.enqueue(now -> balancer.onResponseBegun(now, request.id(), attempt.number));
+                response.remainingBody().setEndListener(end -> onStreamedBodyEnd(streamed, end));
                 response.remainingBody().setArrivalDeadline(streamDueMs(request));
             }
             request.listener.onServed(response);
@@ -581,9 +591,35 @@
         }
     }
 
+    /** Called when a response has ended that was passed on from its beginning. */
+    private void onStreamedBodyEnd(StreamedRequest request, RemainingBody.End end) {
+        boolean tooLate = scheduler.now() >= request.deadlineMs();
+        switch (end) {
+            case TRUNCATED -> onResponseTruncated(request, Reason.RESPONSE_TRUNCATED);
+            case TIMED_OUT -> onResponseTruncated(request, Reason.RESPONSE_TOO_LATE);
+            case INTERRUPTED -> {
+                if (tooLate) {
+                    // The client has waited long enough, so this is not its fault.
+                    onResponseTruncated(request, Reason.CLIENT_GONE_DURING_RESPONSE);
+                } else {
+                    unservedRequests.logStreamed(request, Reason.CLIENT_GONE_DURING_RESPONSE);
+                }
+            }
+            case COMPLETE -> events.enqueue(now -> balancer.onResponseEnded(now, request.endpointId(), true));
+            case NOT_TAKEN -> unservedRequests.logStreamed(request, Reason.CLIENT_GONE_DURING_RESPONSE);
+            default -> {}
+        }
+    }
+
+    private void onResponseTruncated(StreamedRequest request, Reason reason) {
+        unservedRequests.logStreamed(request, reason);
+        events.enqueue(now -> balancer.onResponseEnded(now, request.endpointId(), false));
+    }
+
     /** Stops waiting for an attempt. An attempt that was not written completely is reported as not executed. */
     private void giveUp(PendingRequest request, PendingAttempt attempt, AttemptOutcome outcome) {
         if (!attempt.ended) {
+            attempt.updateProgress();
             boolean mayBeExecuted = attempt.transportAttempt.giveUp();
             boolean keepsOutcome = mayBeExecuted || outcome == AttemptOutcome.CANCELED;
             finish(request, attempt, keepsOutcome ? outcome : AttemptOutcome.CONNECT_ERROR);
@@ -595,7 +631,9 @@
         if (attempt.ended) {
             return;
         }
+        attempt.updateProgress();
         attempt.ended = true;
+        attempt.outcome = outcome;
         attempt.neverExecuted = outcome.neverExecuted();
         attempt.cancelTimer();
         observer.onAttemptFinished(request.id(), attempt.number, outcome);
@@ -636,6 +674,9 @@
         PendingRequest request = pending.get(requestId);
         if (request != null && !request.concluded) {
             conclude(request, Conclusion.REFUSED, retryAfterMs);
+            if (!request.attempts.isEmpty()) {
+                unservedRequests.log(request, Reason.REJECTED);
+            }
             request.listener.onRejected(retryAfterMs);
         }
     }
@@ -644,16 +685,23 @@
     public void fail(String requestId) {
         PendingRequest request = pending.get(requestId);
         if (request != null && !request.concluded) {
-            conclude(request, Conclusion.FAILED, 0);
-            request.listener.onFailed();
+            fail(request);
         }
     }
 
+    private void fail(PendingRequest request) {
+        conclude(request, Conclusion.FAILED, 0);
+        unservedRequests.log(request, Reason.FAILED);
+        request.listener.onFailed();
+    }
+
+    /** An attempt that is canceled after the request's time has failed to end in time, whoever was first to end it. */
     @Override
     public void cancelAttempt(String requestId, int attempt) {
         PendingRequest request = pending.get(requestId);
         if (request != null && attempt < request.attempts.size()) {
-            giveUp(request, request.attempts.get(attempt), AttemptOutcome.CANCELED);
+            boolean late = !request.bodyIncomplete && scheduler.now() >= request.deadlineMs;
+            giveUp(request, request.attempts.get(attempt), late ? AttemptOutcome.TIMED_OUT : AttemptOutcome.CANCELED);
         }
     }
 
--- a/sidecar/src/main/java/martenlatch/upstream/StreamedResponse.java
+++ b/sidecar/src/main/java/martenlatch/upstream/StreamedResponse.java
@@ -48,6 +48,10 @@
     private boolean ended;
 
     private boolean complete;
+    /** How the body ends if it is not complete. */
+    private End truncation = End.TRUNCATED;
+
+    private EndListener endListener = end -> {};
 
     StreamedResponse(long length, Connection connection, Scheduler scheduler, MemoryBudget memory) {
         this.length = length;
@@ -64,13 +68,23 @@
         double delayMs = lastPartAtMs + STALL_MS - scheduler.now();
         stallTimer = scheduler.after(delayMs, () -> {
             if (scheduler.now() - lastPartAtMs >= STALL_MS) {
-                connection.close();
+                truncate(Double.isNaN(blockedSinceMs) ? End.TIMED_OUT : End.NOT_TAKEN);
             } else if (!ended) {
                 startStallTimer();
             }
         });
     }
 
+    private void truncate(End reason) {
+        truncation = reason;
+        connection.close();
+    }
+
+    @Override
+    public void setEndListener(EndListener listener) {
+        endListener = listener;
+    }
+
     @Override
     public long length() {
         return length;
@@ -95,7 +109,7 @@
 
     private void startArrivalTimer() {
         if (!ended && Double.isNaN(blockedSinceMs) && arrivalDeadlineMs < Double.POSITIVE_INFINITY) {
-            arrivalTimer = scheduler.after(arrivalDeadlineMs - scheduler.now(), connection::close);
+            arrivalTimer = scheduler.after(arrivalDeadlineMs - scheduler.now(), () -> truncate(End.TIMED_OUT));
         }
     }
 
@@ -160,6 +174,7 @@
             // What is left of a truncated body is of no use to the client, which must see that it is truncated.
             parts.clear();
         }
+        endListener.onBodyEnd(complete ? End.COMPLETE : truncation);
         send();
     }
 
@@ -183,6 +198,7 @@
             ended = true;
             stallTimer.cancel();
             stopArrivalTimer();
+            endListener.onBodyEnd(Double.isNaN(blockedSinceMs) ? End.INTERRUPTED : End.NOT_TAKEN);
             connection.close();
         }
     }
