Close a connection after a streamed response that began before connections were to be closed

In a drain each response is the last on its connection from 2.7 s on (3.7 s to SIGKILL), but the head of a streamed one may have been written before: its connection went on, and a request on it had only the time left to the end of the drain, 3.4 s.

ClosingTest.connectionEndsAfterResponseThatWasBeingStreamedWhenIdleClientsWereClosed failed before (the connection stayed open for over 300 ms) and passes now.

--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
@@ -516,6 +516,10 @@
                 context.connections().markExpendable(this);
             }
             guard.onAllResponsesWritten();
+            if (context.state().isClosingConnections()) {
+                // The head of a streamed response may have been written before connections were to be closed.
+                channel.eventLoop().execute(() -> closeIfIdle(true));
+            }
         }
         updateReading();
     }
--- a/sidecar/src/test/java/martenlatch/sidecar/ClosingTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/ClosingTest.java
@@ -1,11 +1,13 @@
 package martenlatch.sidecar;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.nio.file.Files;
+import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -161,6 +163,38 @@
         }
     }
 
+    /**
+     * Guards against a connection that goes on after a streamed response which began before idle connections were
+     * closed: a request on it would have next to no time.
+     */
+    @Test
+    void connectionEndsAfterResponseThatWasBeingStreamedWhenIdleClientsWereClosed() throws Exception {
+        CountDownLatch idleClosed = new CountDownLatch(1);
+        byte[] body = LongBodies.bytes(1, 100_000);
+        createFixture(new FakeEndpoint((connection, request) -> {
+                    LongBodies.write(
+                            connection, LongBodies.OK + "Content-Length: 100000\r\n", Arrays.copyOf(body, 70_000));
+                    idleClosed.await();
+                    connection.socket.getOutputStream().write(body, 70_000, 30_000);
+                }))
+                .start();
+        RawHttpClient idle = fixture.client();
+        RawHttpClient client = fixture.client();
+        client.send(fixture.request("order", 8000));
+        RawHttpClient.Message head = client.readHead();
+        assertEquals(null, head.headers().get("connection"));
+        idle.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").read();
+        Thread drain = new Thread(fixture.sidecar::drain);
+        drain.start();
+        idle.awaitClose();
+        idleClosed.countDown();
+        assertArrayEquals(body, client.readBody(head));
+        long endedNanos = System.nanoTime();
+        client.awaitClose();
+        assertTrue(SidecarFixture.elapsedMs(endedNanos) < 300, "the connection stays open");
+        drain.join();
+    }
+
     /** Guards against a drain that ends late by as long as the event loop was blocked when the drain began. */
     @Test
     void drainEndsInTimeIfEventLoopIsBlocked() throws Exception {
