Blame no endpoint for a response that was not read

A response over 1 MiB that waits behind another request of its client is not read. If its time ran out or its client left, it counted against its endpoint. Class: the time of one party held against another. Found by reading.

StreamedResponseTest.endOfResponseThatIsNotReadIsNotTheEndpointsFault (was TIMED_OUT) and clientThatLeavesBeforeAResponseIsReadIsNotTheEndpointsFault (was INTERRUPTED) failed before.

--- a/sidecar/src/main/java/martenlatch/request/RemainingBody.java
+++ b/sidecar/src/main/java/martenlatch/request/RemainingBody.java
@@ -13,7 +13,7 @@
         TIMED_OUT,
         /** It was still arriving when it was not needed any more, as the client had gone. */
         INTERRUPTED,
-        /** The client took no more, and has gone or is taken for gone. */
+        /** It was not read, as the client took no more or waited for an earlier response. */
         NOT_TAKEN
     }
 
--- a/sidecar/src/main/java/martenlatch/upstream/StreamedResponse.java
+++ b/sidecar/src/main/java/martenlatch/upstream/StreamedResponse.java
@@ -68,13 +68,18 @@
         double delayMs = lastPartAtMs + STALL_MS - scheduler.now();
         stallTimer = scheduler.after(delayMs, () -> {
             if (scheduler.now() - lastPartAtMs >= STALL_MS) {
-                truncate(Double.isNaN(blockedSinceMs) ? End.TIMED_OUT : End.NOT_TAKEN);
+                truncate(isTaken() ? End.TIMED_OUT : End.NOT_TAKEN);
             } else if (!ended) {
                 startStallTimer();
             }
         });
     }
 
+    /** Returns whether a receiver is set and takes more; else the body is not read. */
+    private boolean isTaken() {
+        return receiver != null && Double.isNaN(blockedSinceMs);
+    }
+
     private void truncate(End reason) {
         truncation = reason;
         connection.close();
@@ -109,7 +114,8 @@
 
     private void startArrivalTimer() {
         if (!ended && Double.isNaN(blockedSinceMs) && arrivalDeadlineMs < Double.POSITIVE_INFINITY) {
-            arrivalTimer = scheduler.after(arrivalDeadlineMs - scheduler.now(), () -> truncate(End.TIMED_OUT));
+            arrivalTimer = scheduler.after(
+                    arrivalDeadlineMs - scheduler.now(), () -> truncate(isTaken() ? End.TIMED_OUT : End.NOT_TAKEN));
         }
     }
 
@@ -192,13 +198,14 @@
 
     @Override
     public void abandon() {
+        End end = isTaken() ? End.INTERRUPTED : End.NOT_TAKEN;
         receiver = null;
         parts.clear();
         if (!ended) {
             ended = true;
             stallTimer.cancel();
             stopArrivalTimer();
-            endListener.onBodyEnd(Double.isNaN(blockedSinceMs) ? End.INTERRUPTED : End.NOT_TAKEN);
+            endListener.onBodyEnd(end);
             connection.close();
         }
     }
--- a/sidecar/src/test/java/martenlatch/upstream/StreamedResponseTest.java
+++ b/sidecar/src/test/java/martenlatch/upstream/StreamedResponseTest.java
@@ -121,6 +121,36 @@
         assertTrue(closed);
     }
 
+    /** Guards against blaming an endpoint for a response that was not read. */
+    @Test
+    void endOfResponseThatIsNotReadIsNotTheEndpointsFault() {
+        List<RemainingBody.End> ends = new ArrayList<>();
+        response.setEndListener(ends::add);
+        response.setArrivalDeadline(100);
+        clock.advance(101);
+        assertTrue(closed, "time runs although no receiver is set");
+        response.onEnd(false);
+        assertEquals(List.of(RemainingBody.End.NOT_TAKEN), ends);
+        assertTrue(response.isTruncated());
+    }
+
+    @Test
+    void clientThatLeavesInterruptsAResponseOnlyIfItIsRead() {
+        List<RemainingBody.End> ends = new ArrayList<>();
+        response.setEndListener(ends::add);
+        response.transferTo(receiver);
+        response.abandon();
+        assertEquals(List.of(RemainingBody.End.INTERRUPTED), ends);
+    }
+
+    @Test
+    void clientThatLeavesBeforeAResponseIsReadIsNotTheEndpointsFault() {
+        List<RemainingBody.End> ends = new ArrayList<>();
+        response.setEndListener(ends::add);
+        response.abandon();
+        assertEquals(List.of(RemainingBody.End.NOT_TAKEN), ends);
+    }
+
     @Test
     void abandonedStreamReportsNoEnd() {
         response.transferTo(receiver);
