--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -464,11 +464,8 @@
 
     private void send(PendingRequest request, PendingAttempt attempt, double notAfterMs) {
         try {
-            attempt.transportAttempt = request.transport.send(
-                    attempt.endpointId,
-                    new AttemptWriteConditions(request, attempt),
-                    notAfterMs,
-                    new ResponseReceiver(request, attempt));
+            HostedAttempt hosted = new HostedAttempt(request, attempt);
+            attempt.transportAttempt = request.transport.send(attempt.endpointId, hosted, notAfterMs, hosted);
         } catch (RuntimeException e) {
             // It is unknown how much was sent, so the attempt counts as possibly executed and its end is reported.
             logger.logException("sending failed", e);
@@ -476,12 +473,12 @@
         }
     }
 
-    /** Receives the response to an attempt. */
-    private final class ResponseReceiver implements Transport.AttemptListener {
+    /** An attempt as the transport sees it: the conditions of its writing, and the receiver of its response. */
+    private final class HostedAttempt implements Transport.WriteConditions, Transport.AttemptListener {
         private final PendingRequest request;
         private final PendingAttempt attempt;
 
-        ResponseReceiver(PendingRequest request, PendingAttempt attempt) {
+        HostedAttempt(PendingRequest request, PendingAttempt attempt) {
             this.request = request;
             this.attempt = attempt;
         }
@@ -495,17 +492,6 @@
         public void onAttemptFinished(AttemptOutcome outcome, EndpointResponse response) {
             onResponse(request, attempt, outcome, response);
         }
-    }
-
-    /** The conditions that the transport checks just before it writes an attempt. */
-    private final class AttemptWriteConditions implements Transport.WriteConditions {
-        private final PendingRequest request;
-        private final PendingAttempt attempt;
-
-        AttemptWriteConditions(PendingRequest request, PendingAttempt attempt) {
-            this.request = request;
-            this.attempt = attempt;
-        }
 
         @Override
         public double remainingMs() {
