--- a/sidecar/src/test/java/martenlatch/sidecar/AnswerTableTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/AnswerTableTest.java
@@ -28,6 +28,7 @@
         NONE(0, 0),
         TERMINATED_BEFORE(-300, 0),
         TERMINATED_AT_TIME(-20, 0),
+        TERMINATED_AFTER(500, 0),
         RELOADED(-60, 0),
         HELD_UP(-45, 150);
 
@@ -53,6 +54,9 @@
     /** The page's earliest SIGKILL after SIGTERM. */
     private static final int KILL_DELAY_MS = MAX_TIME_MS + 700;
 
+    /** An answer that is still being written this long before SIGKILL may be cut, as it cannot become whole. */
+    private static final int CUT_BEFORE_KILL_MS = 300;
+
     private static final int MAX_RUNS_OF_A_CELL = 10;
     private static final int WARM_UP_REQUESTS = 60;
     /** The time after its own in which the last client leaves that doesn't stay. */
@@ -92,16 +96,24 @@
     private static List<Cell> cells(Disturbance disturbance) {
         List<Cell> cells = new ArrayList<>();
         List<Conduct> conducts = disturbance == Disturbance.NONE ? List.of(Conduct.values()) : CONDUCTS_DISTURBED;
-        for (Conduct conduct : conducts) {
-            for (EndpointAnswer answer : EndpointAnswer.values()) {
-                for (EndpointAnswer.Framing framing : EndpointAnswer.Framing.values()) {
-                    cells.add(new Cell(answer, framing, conduct));
+        for (boolean goesOn : new boolean[] {false, true}) {
+            for (Conduct conduct : conducts) {
+                for (EndpointAnswer answer : EndpointAnswer.values()) {
+                    if (answer.isFlow() == goesOn) {
+                        addInAllFramings(cells, answer, conduct);
+                    }
                 }
             }
         }
         return cells;
     }
 
+    private static void addInAllFramings(List<Cell> cells, EndpointAnswer answer, Conduct conduct) {
+        for (EndpointAnswer.Framing framing : EndpointAnswer.Framing.values()) {
+            cells.add(new Cell(answer, framing, conduct));
+        }
+    }
+
     /** Some cells, played at the same time against one process. */
     private static final class Run implements AutoCloseable {
         private final List<Cell> cells;
@@ -117,11 +129,13 @@
         private SidecarProcess process;
         private HealthChecks healthChecks;
         private long startNanos;
+        /** The time from which an answer may be cut, as the process is about to be killed. */
+        private volatile long cutFromNanos = Long.MAX_VALUE;
 
         Run(List<Cell> cells, Disturbance disturbance) throws IOException {
             this.cells = cells;
             this.disturbance = disturbance;
-            judge = new AnswerJudge(endpoints, disturbance.heldUpMs);
+            judge = new AnswerJudge(endpoints, disturbance.heldUpMs, () -> cutFromNanos);
             fixture = endpoints.fixture(ENDPOINTS);
             fixture.classDeadlineMs = MAX_TIME_MS;
             fixture.discovery.script = SidecarFixture::answerPollWithoutChanges;
@@ -212,7 +226,9 @@
         private void disturb() throws Exception {
             sleepUntil(MAX_TIME_MS + disturbance.atMs);
             switch (disturbance) {
-                case TERMINATED_BEFORE, TERMINATED_AT_TIME -> {
+                case TERMINATED_BEFORE, TERMINATED_AT_TIME, TERMINATED_AFTER -> {
+                    cutFromNanos =
+                            System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(KILL_DELAY_MS - CUT_BEFORE_KILL_MS);
                     process.terminate();
                     if (!process.awaitExit(KILL_DELAY_MS)) {
                         process.kill();
--- a/sidecar/src/test/java/martenlatch/sidecar/EndpointAnswer.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/EndpointAnswer.java
@@ -1,9 +1,7 @@
 package martenlatch.sidecar;
 
-import java.io.IOException;
-import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import martenlatch.sidecar.BodyFlow.Ending;
 
 /** How an endpoint answers a request: how much of the answer it writes, and when the answer is whole. */
 enum EndpointAnswer {
@@ -21,7 +19,19 @@
     WHOLE_AT_TIME(0, 1000),
     WHOLE_30_MS_AFTER(30, 1000),
     WHOLE_200_MS_AFTER(200, 1000),
-    WHOLE_600_MS_AFTER(600, 1000);
+    WHOLE_600_MS_AFTER(600, 1000),
+    FLOWS_70_KBPS_200_MS_AFTER(new BodyFlow(70_000, 50, 200, Ending.WHOLE)),
+    FLOWS_70_KBPS_1_S_AFTER(new BodyFlow(70_000, 50, 1000, Ending.WHOLE)),
+    FLOWS_20_KBPS_3_S_AFTER(new BodyFlow(20_000, 50, 3000, Ending.WHOLE)),
+    FLOWS_45_KBPS_8_S_AFTER(new BodyFlow(45_000, 50, 8000, Ending.WHOLE)),
+    FLOWS_1_MBPS_1_S_AFTER(new BodyFlow(1_000_000, 50, 1000, Ending.WHOLE)),
+    LUMPS_200_MS_1_S_AFTER(new BodyFlow(60_000, 200, 1000, Ending.WHOLE)),
+    LUMPS_800_MS_3_S_AFTER(new BodyFlow(60_000, 800, 3000, Ending.WHOLE)),
+    LUMPS_800_MS_1_S_AFTER(new BodyFlow(100_000, 800, 1000, Ending.WHOLE)),
+    FLOWS_THEN_STOPS_BEFORE(new BodyFlow(200_000, 50, -200, Ending.STOPS)),
+    FLOWS_THEN_STOPS_AFTER(new BodyFlow(100_000, 50, 1000, Ending.STOPS)),
+    FLOWS_THEN_TRICKLES_BEFORE(new BodyFlow(200_000, 50, -200, Ending.TRICKLES)),
+    FLOWS_THEN_TRICKLES_AFTER(new BodyFlow(100_000, 50, 1000, Ending.TRICKLES));
 
     /** How the end of a body is marked. */
     enum Framing {
@@ -39,13 +49,13 @@
         PART,
         PART_AND_TRICKLE,
         AT_ONCE,
-        WHOLE
+        WHOLE,
+        FLOW
     }
 
     /** The beginning of a long answer; more than the sidecar collects. */
     private static final int PART_BYTES = 70_000;
 
-    private static final int TRICKLE_PAUSE_MS = 50;
     /** How long before the end of its request's time an answer begins of which only the end is missing, or all. */
     private static final int LATE_BEGINNING_BEFORE_TIME_MS = 300;
     /** The time after which an answer that becomes whole has begun. */
@@ -55,23 +65,50 @@
     /** The time at which the answer is whole, relative to the end of its request's time. */
     private final int wholeAfterTimeMs;
 
+    /** The size of the body; that of a flow depends on its request's time. */
     private final int size;
+    /** How the body is written; null if it is no flow. */
+    @SuppressWarnings("ImmutableEnumChecker") // A record of immutable values.
+    private final BodyFlow flow;
 
     EndpointAnswer(Extent extent, int size) {
         this.extent = extent;
         this.size = size;
         wholeAfterTimeMs = Integer.MAX_VALUE;
+        flow = null;
+    }
+
+    EndpointAnswer(BodyFlow flow) {
+        extent = Extent.FLOW;
+        size = 0;
+        wholeAfterTimeMs = Integer.MAX_VALUE;
+        this.flow = flow;
     }
 
     EndpointAnswer(int wholeAfterTimeMs, int size) {
         extent = Extent.WHOLE;
         this.size = size;
         this.wholeAfterTimeMs = wholeAfterTimeMs;
+        flow = null;
+    }
+
+    /** Returns the body of the answer to a request whose client waits for {@code timeMs}. */
+    byte[] body(String requestId, int timeMs) {
+        return LongBodies.bytes(requestId.hashCode(), flow == null ? size : flow.bodyBytes(timeMs));
+    }
+
+    /** Returns whether the answer goes on at a sound rate until it is whole, whenever that is. */
+    boolean isSoundFlow() {
+        return flow != null && flow.isSound();
     }
 
-    /** Returns the body of the answer to a request. */
-    byte[] body(String requestId) {
-        return LongBodies.bytes(requestId.hashCode(), size);
+    boolean isFlow() {
+        return flow != null;
+    }
+
+    /** Returns when the last part of a flow is written, after the arrival of its request; NaN if it is no flow. */
+    double lastPartMs(int timeMs) {
+        return flow == null ? Double.NaN : flow.lastPartMs(timeMs);
     }
 
     /** Returns whether the answer is whole this long before its request's time is up, or longer. */
@@ -81,7 +118,7 @@
 
     /** Writes the answer to a request that arrived just now and whose client waits for {@code timeMs}. */
     void write(RawHttpClient connection, String requestId, Framing framing, int timeMs) throws Exception {
-        Writer writer = new Writer(connection, framing, body(requestId));
+        AnswerWriter writer = new AnswerWriter(connection, framing, body(requestId, timeMs));
         long startedNanos = System.nanoTime();
         if (extent == Extent.HEAD || extent == Extent.ALL_BUT_END) {
             sleepUntil(startedNanos, timeMs - LATE_BEGINNING_BEFORE_TIME_MS);
@@ -90,7 +127,7 @@
             writer.head();
         }
         switch (extent) {
-            case NONE, HEAD -> connection.awaitClose();
+            case NONE, HEAD -> writer.awaitClose();
             case TRICKLE -> writer.trickle(0);
             case HALF -> writer.stopAt(size / 2);
             case ALL_BUT_END -> writer.stopAt(framing == Framing.LENGTH ? size - 1 : size);
@@ -110,6 +147,7 @@
                 writer.part(size / 2, size);
                 writer.end();
             }
+            case FLOW -> flow.write(writer, timeMs);
             default -> throw new IllegalStateException(extent.name());
         }
     }
@@ -117,58 +155,4 @@
     private static void sleepUntil(long startedNanos, int afterMs) throws InterruptedException {
         TimeUnit.NANOSECONDS.sleep(startedNanos + TimeUnit.MILLISECONDS.toNanos(afterMs) - System.nanoTime());
     }
-
-    /** Writes one answer in its framing. */
-    private static final class Writer {
-        private final RawHttpClient connection;
-        private final Framing framing;
-        private final byte[] body;
-
-        Writer(RawHttpClient connection, Framing framing, byte[] body) {
-            this.connection = connection;
-            this.framing = framing;
-            this.body = body;
-        }
-
-        void head() throws IOException {
-            connection.send(LongBodies.OK
-                    + switch (framing) {
-                        case LENGTH -> "Content-Length: " + body.length + "\r\n\r\n";
-                        case CHUNKED -> "Transfer-Encoding: chunked\r\n\r\n";
-                        case CLOSE -> "Connection: close\r\n\r\n";
-                    });
-        }
-
-        void part(int from, int to) throws IOException {
-            OutputStream out = connection.socket.getOutputStream();
-            if (framing == Framing.CHUNKED) {
-                out.write((Integer.toHexString(to - from) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
-            }
-            out.write(body, from, to - from);
-            if (framing == Framing.CHUNKED) {
-                out.write("\r\n".getBytes(StandardCharsets.ISO_8859_1));
-            }
-        }
-
-        void end() throws IOException {
-            if (framing == Framing.CHUNKED) {
-                connection.send("0\r\n\r\n");
-            } else if (framing == Framing.CLOSE) {
-                connection.close();
-            }
-        }
-
-        void stopAt(int offset) throws IOException {
-            part(0, offset);
-            connection.awaitClose();
-        }
-
-        /** Writes a byte at a time until the connection ends, which is long before the body does. */
-        void trickle(int from) throws Exception {
-            for (int i = from; i < body.length - 1; i++) {
-                Thread.sleep(TRICKLE_PAUSE_MS);
-                part(i, i + 1);
-            }
-        }
-    }
 }
--- a/sidecar/src/test/java/martenlatch/sidecar/WaitingClient.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/WaitingClient.java
@@ -45,6 +45,11 @@
      * @param timeMs how long the client waits for the answer
      */
     record Request(String id, String requestClass, EndpointAnswer answer, EndpointAnswer.Framing framing, int timeMs) {
+        /** Returns when the last part of an answer is written that goes on for a while; NaN for any other answer. */
+        double lastPartMs() {
+            return answer.lastPartMs(timeMs);
+        }
+
         String text(String version) {
             String head = "/api " + version + "\r\nHost: a\r\nConnection: keep-alive\r\nX-Request-Id: " + id
                     + "\r\nX-Class: " + requestClass + "\r\nX-Deadline-Ms: " + timeMs + "\r\n"
@@ -143,7 +148,7 @@
                 switch (conduct) {
                     case LEAVES_AT_TIME -> 0;
                     case LEAVES_60_MS_AFTER -> LEAVE_DELAY_MS;
-                    default -> STAY_MS;
+                    default -> stayMs(request) - request.timeMs();
                 };
         return receive(request, sentNanos, request.timeMs() + stayMs);
     }
@@ -153,7 +158,7 @@
         long sentNanos = System.nanoTime();
         List<Observation> seen = new ArrayList<>();
         for (Request sent : List.of(first, second)) {
-            seen.add(receive(sent, sentNanos, sent.timeMs() + STAY_MS));
+            seen.add(receive(sent, sentNanos, Math.max(stayMs(first), stayMs(second))));
         }
         return seen;
     }
@@ -165,8 +170,12 @@
         connection.send(second.text("HTTP/1.1"));
         long secondSentNanos = System.nanoTime();
         return List.of(
-                receive(request, firstSentNanos, request.timeMs() + STAY_MS),
-                receive(second, secondSentNanos, second.timeMs() + STAY_MS));
+                receive(request, firstSentNanos, stayMs(request)), receive(second, secondSentNanos, stayMs(request)));
+    }
+
+    /** Returns how long a client stays that waits for an answer, and for others behind it. */
+    private static int stayMs(Request first) {
+        return Math.max(first.timeMs(), (int) first.lastPartMs()) + STAY_MS;
     }
 
     /** Reads an answer until it ends; leaves {@code untilMs} after its request was sent. */
