Judge a response that is passed on by its progress, not by a clock alone

Cause: each end of a body that still moves was bound to a clock: 350 ms after the deadline if it was passed on, the client's time if it was collected.

Change: BodyProgress tells a body that goes on (4 KiB come together within 1 s, 2 s once it has gone on beyond its time, or 1.5 times the longest pause it made before) from one that has stopped or trickles. The clock only says when to look. A response that is being collected at its time is passed on if it may still become whole, and nobody waits behind it; else it fails whole, as before. An endpoint is not blamed for a response that flows when its client leaves, or that has to make way for another one, or that the end of the process cuts; the latter now ends by the last deadline and not with the process. The log tells bytes, rate, last progress, and the rule. StreamedResponses has been split off RequestTracker.

--- a/sidecar/src/main/java/martenlatch/frontend/http/CompleteBody.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/CompleteBody.java
@@ -43,6 +43,9 @@
     @Override
     public void setArrivalDeadline(double deadlineMs) {}
 
+    @Override
+    public void endBy(double latestMs) {}
+
     /** The endpoint has ended the body before this object was created. */
     @Override
     public void setEndListener(EndListener listener) {}
--- a/sidecar/src/main/java/martenlatch/request/PendingAttempt.java
+++ b/sidecar/src/main/java/martenlatch/request/PendingAttempt.java
@@ -42,6 +42,16 @@
         return !ended && transportAttempt != null && transportAttempt.withdraw();
     }
 
+    /** Returns whether a response is arriving whose body makes progress steadily. */
+    boolean isResponseFlowing() {
+        return !ended
+                && transportAttempt != null
+                && transportAttempt
+                        .responseProgress()
+                        .filter(current -> current.flowing())
+                        .isPresent();
+    }
+
     /** Looks up how far the response has arrived; called before the attempt is given up, which ends the response. */
     void updateProgress() {
         if (!ended && transportAttempt != null) {
--- a/sidecar/src/main/java/martenlatch/request/RemainingBody.java
+++ b/sidecar/src/main/java/martenlatch/request/RemainingBody.java
@@ -9,18 +9,20 @@
         COMPLETE,
         /** The endpoint ended it early, or sent what is not valid. */
         TRUNCATED,
-        /** It had not arrived by its deadline, or had stopped arriving. */
+        /** It has stopped, or trickles. */
         TIMED_OUT,
         /** It was still arriving when it was not needed any more, as the client had gone. */
         INTERRUPTED,
         /** It was not read, as the client took no more or waited for an earlier response. */
-        NOT_TAKEN
+        NOT_TAKEN,
+        /** It was still arriving when this process was about to end. */
+        PROCESS_ENDS
     }
 
     /** Is notified of the end of a body. */
     interface EndListener {
         /** Called once, when the body has ended on the endpoint's side or is not needed any more. */
-        void onBodyEnd(End end);
+        void onBodyEnd(End end, BodyProgress progress);
     }
 
     /** Receives the parts of a body in order, then its end once. */
@@ -45,11 +47,14 @@
     boolean isTruncated();
 
     /**
-     * Truncates the body if it has not arrived by this time. Time during which it is not read, as its receiver takes no
-     * more, does not count.
+     * Truncates the body at this time or later, as soon as it makes no progress. Time during which it is not read, as
+     * its receiver takes no more, does not count; one that has no receiver yet is truncated at this time.
      */
     void setArrivalDeadline(double deadlineMs);
 
+    /** Truncates the body at this time, whether or not it makes progress. */
+    void endBy(double latestMs);
+
     /** Sets who is notified of the end of the body; must be called before it can end. */
     void setEndListener(EndListener listener);
 
--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -30,17 +30,13 @@
 
     /** The time after its deadline at which a request fails if the balancer has not concluded it. */
     private static final double DEADLINE_SLACK_MS = 5;
-    /**
-     * The time after the deadline within which a response that is being passed on may become whole. It ends well before
-     * half a second after the client's time, when the response would count as lost.
-     */
-    private static final double STREAM_GRACE_MS = 350;
     /** The delay before the local agent is polled again after a failed poll, used if lists are pushed. */
     private static final int PUSHED_LIST_RETRY_MS = 100;
 
     private final Scheduler scheduler;
     private final RateLimitedLogger logger;
     private final UnservedRequestLog unservedRequests;
+    private final StreamedResponses streamedResponses;
     private final EndpointConnections connections;
     /** Starts a poll of the endpoint list, or a watch if its version is known. */
     private final Runnable pollEndpointList;
@@ -103,6 +99,7 @@
         events = new BalancerEventQueue(
                 scheduler, this::logBalancerFailure, this::failUnhandled, this::removeIfFinished);
         balancer = new LoadBalancer(settings, seed, this);
+        streamedResponses = new StreamedResponses(scheduler, balancer, events, unservedRequests);
         applyList(EndpointListKind.CACHED, cachedEndpointList);
         if (!settings.pollsEndpointList()) {
             pollEndpointList.run();
@@ -283,6 +280,7 @@
      */
     public void capDeadlines(double latestMs) {
         latestDeadlineMs = latestMs;
+        streamedResponses.endBy(latestMs);
         for (PendingRequest request : pending.values()) {
             if (request.concluded) {
                 continue;
@@ -512,8 +510,8 @@
 
     /**
      * Ends an attempt whose time is up, unless its response has begun. Such a response is waited for as long as the
-     * client can get a final answer in time, because the endpoint has executed the request. Nothing of it was passed
-     * on, so the request then fails with a whole response.
+     * client can get a final answer in time, because the endpoint has executed the request. Then it is passed on if it
+     * may still become whole; else the request fails with a whole response.
      */
     private void onTimeout(PendingRequest request, PendingAttempt attempt) {
         Optional<ResponseProgress> response =
@@ -522,24 +520,20 @@
         if (response.isPresent() && remainingMs > 0) {
             attempt.responseLatencyMs = response.get().startedAtMs() - attempt.startedAtMs;
             startTimeoutTimer(request, attempt, remainingMs);
-        } else {
+            return;
+        }
+        if (response.isEmpty() || !attempt.transportAttempt.passOnResponse()) {
+            boolean flowing = response.isPresent() && response.get().flowing();
             attempt.responseLatencyMs = Double.NaN;
-            giveUp(request, attempt, AttemptOutcome.TIMED_OUT);
+            // A response that flows, but has to make way for another one, says nothing of its endpoint.
+            giveUp(request, attempt, flowing ? AttemptOutcome.CANCELED : AttemptOutcome.TIMED_OUT);
         }
     }
 
     /** Returns the time by which a final answer has to be given so that it reaches the client in time. */
     private double finalAnswerDueMs(PendingRequest request) {
-        return Math.min(request.deadlineMs + request.request.answerSlackMs(), latestDueMs(request));
-    }
-
-    /** Returns the time by which a response that is being passed on has to end. */
-    private double streamDueMs(PendingRequest request) {
-        return Math.min(request.deadlineMs + STREAM_GRACE_MS, latestDueMs(request));
-    }
-
-    private double latestDueMs(PendingRequest request) {
-        return Math.max(request.deadlineMs, latestDeadlineMs);
+        double latestMs = Math.max(request.deadlineMs, latestDeadlineMs);
+        return Math.min(request.deadlineMs + request.request.answerSlackMs(), latestMs);
     }
 
     private void onResponse(
@@ -567,8 +561,7 @@
                 StreamedRequest streamed =
                         new StreamedRequest(request.id(), attempt.endpointId, request.deadlineMs, scheduler.now());
                 events.enqueue(now -> balancer.onResponseBegun(now, request.id(), attempt.number));
-                response.remainingBody().setEndListener(end -> onStreamedBodyEnd(streamed, end));
-                response.remainingBody().setArrivalDeadline(streamDueMs(request));
+                streamedResponses.follow(streamed, response.remainingBody());
             }
             request.listener.onServed(response);
         } else if (outcome == AttemptOutcome.NOT_EXECUTED) {
@@ -577,31 +570,6 @@
         }
     }
 
-    /** Called when a response has ended that was passed on from its beginning. */
-    private void onStreamedBodyEnd(StreamedRequest request, RemainingBody.End end) {
-        boolean tooLate = scheduler.now() >= request.deadlineMs();
-        switch (end) {
-            case TRUNCATED -> onResponseTruncated(request, Reason.RESPONSE_TRUNCATED);
-            case TIMED_OUT -> onResponseTruncated(request, Reason.RESPONSE_TOO_LATE);
-            case INTERRUPTED -> {
-                if (tooLate) {
-                    // The client has waited long enough, so this is not its fault.
-                    onResponseTruncated(request, Reason.CLIENT_GONE_DURING_RESPONSE);
-                } else {
-                    unservedRequests.logStreamed(request, Reason.CLIENT_GONE_DURING_RESPONSE);
-                }
-            }
-            case COMPLETE -> events.enqueue(now -> balancer.onResponseEnded(now, request.endpointId(), true));
-            case NOT_TAKEN -> unservedRequests.logStreamed(request, Reason.CLIENT_GONE_DURING_RESPONSE);
-            default -> {}
-        }
-    }
-
-    private void onResponseTruncated(StreamedRequest request, Reason reason) {
-        unservedRequests.logStreamed(request, reason);
-        events.enqueue(now -> balancer.onResponseEnded(now, request.endpointId(), false));
-    }
-
     /** Stops waiting for an attempt. An attempt that was not written completely is reported as not executed. */
     private void giveUp(PendingRequest request, PendingAttempt attempt, AttemptOutcome outcome) {
         if (!attempt.ended) {
@@ -681,13 +649,18 @@
         request.listener.onFailed();
     }
 
-    /** An attempt that is canceled after the request's time has failed to end in time, whoever was first to end it. */
+    /**
+     * An attempt that is canceled after the request's time has failed to end in time, whoever was first to end it,
+     * unless its response is flowing.
+     */
     @Override
     public void cancelAttempt(String requestId, int attempt) {
         PendingRequest request = pending.get(requestId);
         if (request != null && attempt < request.attempts.size()) {
+            PendingAttempt canceled = request.attempts.get(attempt);
             boolean late = !request.bodyIncomplete && scheduler.now() >= request.deadlineMs;
-            giveUp(request, request.attempts.get(attempt), late ? AttemptOutcome.TIMED_OUT : AttemptOutcome.CANCELED);
+            boolean timedOut = late && !canceled.isResponseFlowing();
+            giveUp(request, canceled, timedOut ? AttemptOutcome.TIMED_OUT : AttemptOutcome.CANCELED);
         }
     }
 
--- a/sidecar/src/main/java/martenlatch/request/Transport.java
+++ b/sidecar/src/main/java/martenlatch/request/Transport.java
@@ -18,6 +18,14 @@
         default Optional<ResponseProgress> responseProgress() {
             return Optional.empty();
         }
+
+        /**
+         * Reports the response that is arriving, so that it is passed on while the rest arrives; returns false if it
+         * has stopped, trickles or has to wait for another response.
+         */
+        default boolean passOnResponse() {
+            return false;
+        }
     }
 
     /**
@@ -25,8 +33,9 @@
      *
      * @param startedAtMs the time at which its head was complete
      * @param lastBytesAtMs the time at which its last bytes arrived
+     * @param flowing whether its body makes progress steadily
      */
-    record ResponseProgress(double startedAtMs, double lastBytesAtMs) {}
+    record ResponseProgress(double startedAtMs, double lastBytesAtMs, boolean flowing) {}
 
     /** Notified of the end of an attempt: at most once, and never after {@link Attempt#giveUp}. */
     interface AttemptListener {
--- a/sidecar/src/main/java/martenlatch/request/UnservedRequestLog.java
+++ b/sidecar/src/main/java/martenlatch/request/UnservedRequestLog.java
@@ -17,7 +17,8 @@
         CLIENT_GONE("client gone"),
         CLIENT_GONE_DURING_RESPONSE("client gone while the response was passed on"),
         RESPONSE_TRUNCATED("response truncated by the endpoint while it was passed on"),
-        RESPONSE_TOO_LATE("response cut while it was passed on, as it did not end");
+        RESPONSE_STOPPED("response cut while it was passed on, as it stopped or trickled"),
+        PROCESS_ENDS("response cut while it was passed on, as the process ends");
 
         private final String text;
 
@@ -42,12 +43,13 @@
     }
 
     /** Logs a request whose response was begun to be passed on, and of which nothing else is kept. */
-    void logStreamed(StreamedRequest request, Reason reason) {
+    void logStreamed(StreamedRequest request, Reason reason, BodyProgress progress) {
         logger.logEach(
                 CATEGORY,
                 () -> request.id() + ", " + reason.text + ", " + Math.round(request.deadlineMs() - scheduler.now())
                         + " ms left; response from " + request.endpointId() + " begun "
-                        + Math.round(scheduler.now() - request.respondedAtMs()) + " ms ago");
+                        + Math.round(scheduler.now() - request.respondedAtMs()) + " ms ago, "
+                        + progress.describe(scheduler.now()));
     }
 
     private String describe(PendingRequest request, Reason reason) {
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointAttempt.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointAttempt.java
@@ -136,6 +136,11 @@
         return connection == null || !written ? Optional.empty() : connection.responseProgress();
     }
 
+    @Override
+    public boolean passOnResponse() {
+        return listener != null && written && connection.passOnResponse();
+    }
+
     /** Notifies the listener of the result, unless it was already notified or the attempt was given up. */
     void finish(AttemptOutcome outcome, EndpointResponse response) {
         Transport.AttemptListener notified = listener;
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointConnection.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointConnection.java
@@ -227,6 +227,11 @@
         return decoder.responseProgress();
     }
 
+    /** Streams the response that is arriving from now on, if it may be; returns whether it does. */
+    boolean passOnResponse() {
+        return decoder.streamFromNowOn();
+    }
+
     @Override
     public boolean mayStream() {
         return attempt == null || attempt.mayStreamResponse();
--- a/sidecar/src/main/java/martenlatch/upstream/ResponseDecoder.java
+++ b/sidecar/src/main/java/martenlatch/upstream/ResponseDecoder.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import martenlatch.net.CollectedBytes;
 import martenlatch.net.MemoryBudget;
+import martenlatch.request.BodyProgress;
 import martenlatch.request.EndpointResponse;
 import martenlatch.request.RemainingBody;
 import martenlatch.request.Scheduler;
@@ -82,6 +83,8 @@
     /** The bytes collected of its body, or null. */
     private CollectedBytes body;
 
+    /** How that body arrives; null before the first head. */
+    private BodyProgress progress;
     /** The time at which that head was complete. */
     private double responseStartedMs;
     /** The time at which bytes of a response last arrived. */
@@ -122,10 +125,22 @@
     public Optional<Transport.ResponseProgress> responseProgress() {
         boolean responding = head != null && isOk(head);
         return responding
-                ? Optional.of(new Transport.ResponseProgress(responseStartedMs, lastBytesMs))
+                ? Optional.of(new Transport.ResponseProgress(
+                        responseStartedMs, lastBytesMs, progress.isFlowing(scheduler.now())))
                 : Optional.empty();
     }
 
+    /** Streams the response that is being collected if it may go on and may be streamed; returns whether it does. */
+    public boolean streamFromNowOn() {
+        boolean collecting = head != null && isOk(head) && streamed == null && !isComplete();
+        double nowMs = scheduler.now();
+        if (!collecting || !progress.mayGoOn(nowMs, nowMs) || !listener.mayStream()) {
+            return false;
+        }
+        startStreaming();
+        return true;
+    }
+
     private boolean isComplete() {
         return completeResponse != null || streamComplete;
     }
@@ -189,6 +204,7 @@
         releaseBody();
         head = response;
         responseStartedMs = scheduler.now();
+        progress = new BodyProgress(responseStartedMs);
         long length = HttpUtil.getContentLength(response, -1L);
         body = new CollectedBytes(memory, MemoryBudget.Use.RESPONSE, MAX_COLLECTED_BODY_BYTES, length);
         boolean isLong = length > MAX_COLLECTED_BODY_BYTES;
@@ -237,6 +253,7 @@
             reportInvalid();
             return;
         }
+        progress.onBytes(scheduler.now(), content.content().readableBytes());
         if (streamed == null) {
             updateCollectionLimit(content.content().readableBytes());
             if (body.tryAppend(content.content())) {
@@ -295,7 +312,8 @@
                     }
                 },
                 scheduler,
-                memory);
+                memory,
+                progress);
         streamed = started;
         byte[] collected = takeBody();
         streamedBytes = collected.length;
--- a/sidecar/src/main/java/martenlatch/upstream/StreamedResponse.java
+++ b/sidecar/src/main/java/martenlatch/upstream/StreamedResponse.java
@@ -2,6 +2,7 @@
 
 import martenlatch.net.MemoryBudget;
 import martenlatch.net.PartQueue;
+import martenlatch.request.BodyProgress;
 import martenlatch.request.RemainingBody;
 import martenlatch.request.Scheduler;
 
@@ -34,12 +35,13 @@
     private Receiver receiver;
     private Scheduler.Timer stallTimer;
     private double lastPartAtMs;
-    /** The time by which the body must have arrived if it is read from now on without a pause. */
+    private final BodyProgress progress;
+    /** The time from which the body ends once it makes no progress. */
     private double arrivalDeadlineMs = Double.POSITIVE_INFINITY;
     /** Runs while the body is read and has an arrival deadline; else null. */
     private Scheduler.Timer arrivalTimer;
-    /** The time since which the receiver takes no more, so that the body is not read; NaN if it does. */
-    private double blockedSinceMs = Double.NaN;
+    /** Runs if the body has to end by a given time; else null. */
+    private Scheduler.Timer latestEndTimer;
 
     private boolean paused;
     /** Whether parts are being passed to the receiver. */
@@ -51,14 +53,17 @@
     /** How the body ends if it is not complete. */
     private End truncation = End.TRUNCATED;
 
-    private EndListener endListener = end -> {};
+    private EndListener endListener = (end, endProgress) -> {};
 
-    StreamedResponse(long length, Connection connection, Scheduler scheduler, MemoryBudget memory) {
+    StreamedResponse(
+            long length, Connection connection, Scheduler scheduler, MemoryBudget memory, BodyProgress progress) {
         this.length = length;
+        this.progress = progress;
         parts = new PartQueue(memory);
         this.connection = connection;
         this.scheduler = scheduler;
         lastPartAtMs = scheduler.now();
+        progress.onBlocked(lastPartAtMs);
         connection.setReading(false);
         startStallTimer();
     }
@@ -77,7 +82,7 @@
 
     /** Returns whether a receiver is set and takes more; else the body is not read. */
     private boolean isTaken() {
-        return receiver != null && Double.isNaN(blockedSinceMs);
+        return receiver != null && Double.isNaN(progress.blockedSinceMs());
     }
 
     private void truncate(End reason) {
@@ -112,10 +117,40 @@
         startArrivalTimer();
     }
 
+    /** Starts the timer of the next look at the progress of the body, unless nobody takes it. */
     private void startArrivalTimer() {
-        if (!ended && Double.isNaN(blockedSinceMs) && arrivalDeadlineMs < Double.POSITIVE_INFINITY) {
-            arrivalTimer = scheduler.after(
-                    arrivalDeadlineMs - scheduler.now(), () -> truncate(isTaken() ? End.TIMED_OUT : End.NOT_TAKEN));
+        boolean blocked = receiver != null && !isTaken();
+        if (!ended && !blocked && arrivalDeadlineMs < Double.POSITIVE_INFINITY) {
+            double nextLookMs = receiver == null
+                    ? arrivalDeadlineMs
+                    : Math.max(arrivalDeadlineMs, progress.stoppedAtMs(arrivalDeadlineMs));
+            arrivalTimer = scheduler.after(nextLookMs - scheduler.now(), this::truncateIfStopped);
+        }
+    }
+
+    private void truncateIfStopped() {
+        if (receiver == null) {
+            truncate(End.NOT_TAKEN);
+        } else if (scheduler.now() >= progress.stoppedAtMs(arrivalDeadlineMs)) {
+            truncate(End.TIMED_OUT);
+        } else {
+            startArrivalTimer();
+        }
+    }
+
+    private void stopTimers() {
+        stallTimer.cancel();
+        stopArrivalTimer();
+        endBy(Double.POSITIVE_INFINITY);
+    }
+
+    @Override
+    public void endBy(double latestMs) {
+        if (latestEndTimer != null) {
+            latestEndTimer.cancel();
+        }
+        if (!ended && latestMs < Double.POSITIVE_INFINITY) {
+            latestEndTimer = scheduler.after(latestMs - scheduler.now(), () -> truncate(End.PROCESS_ENDS));
         }
     }
 
@@ -126,15 +161,15 @@
         }
     }
 
-    /** Resumes or pauses reading; the arrival deadline moves by the time during which the receiver took no more. */
+    /** Resumes or pauses reading; while it pauses, the body is not judged by its progress. */
     private void setReading(boolean reading) {
-        boolean wasBlocked = !Double.isNaN(blockedSinceMs);
+        boolean wasBlocked = !Double.isNaN(progress.blockedSinceMs());
         if (reading && wasBlocked) {
-            arrivalDeadlineMs += Math.max(0, scheduler.now() - blockedSinceMs);
-            blockedSinceMs = Double.NaN;
+            progress.onUnblocked(scheduler.now());
+            stopArrivalTimer();
             startArrivalTimer();
         } else if (!reading && !wasBlocked) {
-            blockedSinceMs = scheduler.now();
+            progress.onBlocked(scheduler.now());
             stopArrivalTimer();
         }
         connection.setReading(reading);
@@ -174,13 +209,12 @@
         }
         ended = true;
         complete = bodyComplete;
-        stallTimer.cancel();
-        stopArrivalTimer();
+        stopTimers();
         if (!complete) {
             // What is left of a truncated body is of no use to the client, which must see that it is truncated.
             parts.clear();
         }
-        endListener.onBodyEnd(complete ? End.COMPLETE : truncation);
+        endListener.onBodyEnd(complete ? End.COMPLETE : truncation, progress);
         send();
     }
 
@@ -203,9 +237,8 @@
         parts.clear();
         if (!ended) {
             ended = true;
-            stallTimer.cancel();
-            stopArrivalTimer();
-            endListener.onBodyEnd(end);
+            stopTimers();
+            endListener.onBodyEnd(end, progress);
             connection.close();
         }
     }
