Do not count the time in which a request body is not read against its client's rate

The minimum rate of a body was not counted if reading was paused at the moment of the check, and for the whole interval if it was not, so that a body whose reading pauses and resumes, as its endpoint reads slowly, counted against its client. Now the paused time is summed up.

--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
@@ -482,7 +482,7 @@
             unreadSinceMs = context.scheduler().now();
         }
         guard.setInputBuffering(!closing && (responses.size() >= MAX_PIPELINED || !channel.isWritable()));
-        channel.config().setAutoRead(closing || !(bodyPaused || streaming));
+        guard.setReading(closing || !(bodyPaused || streaming));
     }
 
     // ---- responses ----
--- a/sidecar/src/main/java/martenlatch/frontend/http/ConnectionGuard.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ConnectionGuard.java
@@ -89,6 +89,10 @@
 
     /** The number of bytes discarded since the last response was passed to the channel. */
     private long discardedBytes;
+    /** The time since which the channel is not read, or since when that was last counted. */
+    private double unreadSinceMs;
+    /** The time during which the channel was not read since the rate was last checked. */
+    private double unreadMs;
     /** The number of bytes by which the body has fallen behind the minimum rate; negative if it is ahead. */
     private long rateDeficitBytes;
 
@@ -136,12 +140,30 @@
 
     /** Returns whether the body has arrived fast enough; time during which it was not read does not count. */
     private boolean meetsMinBodyRate(int elapsedMs) {
-        if (channel.config().isAutoRead()) {
-            rateDeficitBytes = Math.max(0, rateDeficitBytes + (long) elapsedMs * MIN_BODY_BYTES_PER_MS);
-        }
+        countUnreadTime();
+        long readMs = Math.max(0, elapsedMs - (long) unreadMs);
+        unreadMs = 0;
+        rateDeficitBytes = Math.max(0, rateDeficitBytes + readMs * MIN_BODY_BYTES_PER_MS);
         return rateDeficitBytes <= MAX_RATE_DEFICIT_BYTES;
     }
 
+    private void countUnreadTime() {
+        if (!channel.config().isAutoRead()) {
+            double nowMs = scheduler.now();
+            unreadMs += nowMs - unreadSinceMs;
+            unreadSinceMs = nowMs;
+        }
+    }
+
+    /** Resumes or pauses reading from the channel. */
+    void setReading(boolean enabled) {
+        countUnreadTime();
+        if (!enabled && channel.config().isAutoRead()) {
+            unreadSinceMs = scheduler.now();
+        }
+        channel.config().setAutoRead(enabled);
+    }
+
     /**
      * Reads the input available in the socket buffer and returns whether there was any. Called on the event loop, it
      * has no effect while other input is being processed. Closing a connection over unread input would lose a request
@@ -281,6 +303,8 @@
             onRequestStarted();
         }
         inBody = true;
+        countUnreadTime();
+        unreadMs = 0;
         rateDeficitBytes = 0;
     }
 
@@ -334,7 +358,7 @@
         discardInput();
         closing = true;
         closedDuringBody = duringBody;
-        channel.config().setAutoRead(true);
+        setReading(true);
         deadline.stop();
         output.onOutput();
         lastResponse.addListener(written -> {
