Let a client's time run while its upload is not read, whatever the buffers hold

Cause, three of a kind: UploadClock guessed when the last byte may have been written. It let the time run only once all but 4 MiB had been read (this machine's buffers hold more: 4.5 MB were written at once); it started anew whenever the receive buffer was empty, though the client's system may still hold bytes that it could not send; and a body that becomes a stream (chunked, 1 MiB) is paused before its clock exists, so that nothing starts the time until reading pauses once more.

Change: the time runs from the first moment in which we stopped reading, until we have read for 100 ms without a pause; of longer bodies once all but 16 MiB were read (systems allow 4 + 6 MiB by default). A pause from before the clock counts.

--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
@@ -27,6 +27,7 @@
 import martenlatch.frontend.http.RequestEvent.StreamedRequest;
 import martenlatch.policy.api.Request;
 import martenlatch.request.RequestTracker.Acceptance;
+import martenlatch.request.Scheduler;
 import martenlatch.upstream.OutgoingRequest;
 import martenlatch.upstream.StreamedRequestBody;
 
@@ -79,6 +80,8 @@
     private boolean bodyPaused;
     /** Knows since when the streamed body may be complete; null if none is being received. */
     private UploadClock uploadClock;
+    /** Runs after the streamed body was paused, until all that its client had written may have been read; else null. */
+    private Scheduler.Timer catchUpTimer;
     /** The time since which input is left in the socket buffer, as a response is being streamed; else NaN. */
     private double unreadSinceMs = Double.NaN;
     /** Whether a request received its response before its body was complete. */
@@ -210,6 +213,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        if (catchUpTimer != null) {
+            catchUpTimer.cancel();
+        }
         context.connections().remove(this);
         abandonResponses();
     }
@@ -265,8 +271,9 @@
             response.rejectInvalid(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests ahead of answers");
         } else if (event instanceof StreamedRequest streamed) {
             responseToIncompleteRequest = response;
-            uploadClock = new UploadClock(HttpUtil.getContentLength(streamed.head(), -1L));
+            startUploadClock(HttpUtil.getContentLength(streamed.head(), -1L));
             route(response, streamed.head(), NO_BODY, streamed.body());
+            updateUploadDeadline();
         } else if (event instanceof CompleteRequest complete) {
             route(response, complete.head(), complete.body(), null);
         }
@@ -400,41 +407,67 @@
 
     // ---- streamed request body ----
 
+    private void startUploadClock(long length) {
+        uploadClock = new UploadClock(length, context.scheduler().now());
+        if (bodyPaused) {
+            uploadClock.onPaused(context.scheduler().now());
+        }
+    }
+
     @Override
     public void setPaused(boolean paused) {
         bodyPaused = paused;
         updateReading();
-        if (paused && uploadClock != null) {
+        if (uploadClock == null) {
+            return;
+        }
+        if (paused) {
             uploadClock.onPaused(context.scheduler().now());
             updateUploadDeadline();
+        } else {
+            uploadClock.onResumed(context.scheduler().now());
+            awaitCatchUp();
         }
     }
 
     @Override
     public void onBytesReceived(long totalBytes) {
         if (uploadClock != null) {
+            double dueBeforeMs = uploadClock.mayBeCompleteSinceMs();
             uploadClock.onBytesRead(context.scheduler().now(), totalBytes);
+            if (Double.isNaN(dueBeforeMs) && !Double.isNaN(uploadClock.mayBeCompleteSinceMs())) {
+                updateUploadDeadline();
+            }
         }
     }
 
-    /** Called after each read; a body that was paused before is read to the end of the input that has arrived. */
-    @Override
-    public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (uploadClock != null && !bodyPaused && !Double.isNaN(uploadClock.mayBeCompleteSinceMs())) {
-            channel.eventLoop().execute(this::checkUploadDrained);
+    /** Starts the timer that looks whether all that the client had written has been read. */
+    private void awaitCatchUp() {
+        double untilCaughtUpMs = uploadClock.untilCaughtUpMs(context.scheduler().now());
+        if (catchUpTimer == null && !Double.isNaN(untilCaughtUpMs)) {
+            catchUpTimer = context.scheduler().after(untilCaughtUpMs, this::checkCaughtUp);
         }
-        ctx.fireChannelReadComplete();
     }
 
-    private void checkUploadDrained() {
-        if (uploadClock != null && !bodyPaused && !guard.readAvailable() && uploadClock != null) {
-            uploadClock.onDrained();
+    private void checkCaughtUp() {
+        catchUpTimer = null;
+        if (uploadClock != null && !bodyPaused) {
+            // The event loop may have been busy, so that input was left unread without a pause.
+            guard.readAvailable(MAX_READ_AHEAD_BYTES);
+        }
+        if (uploadClock == null || bodyPaused) {
+            return;
+        }
+        if (uploadClock.untilCaughtUpMs(context.scheduler().now()) > 0) {
+            awaitCatchUp();
+        } else {
+            uploadClock.onCaughtUp();
             updateUploadDeadline();
         }
     }
 
     private void updateUploadDeadline() {
-        if (responseToIncompleteRequest != null && responseToIncompleteRequest.isAwaited()) {
+        if (uploadClock != null && responseToIncompleteRequest != null && responseToIncompleteRequest.isAwaited()) {
             context.requestTracker()
                     .onRequestMayBeComplete(
                             responseToIncompleteRequest.requestId(),
