Blame no endpoint for a long upload that it was taking; count its time-out from the last byte

Cause: the attempt's time-out ran from the last byte that the sidecar read, not from the last one that it wrote; the stall of 2 s ended uploads whose time ran anyway; and what was given up unwritten counted as a failed connection.

Change: the time-out of a streamed upload runs from its last written byte, and until then its deadline alone. The stall ends only uploads without a deadline yet. What is given up while the endpoint takes the body (BodyProgress, as for responses) counts as not executed; a connection that never comes up or takes nothing counts as before. The log line of an upload that ends at its time tells what its endpoint took.

--- a/sidecar/src/main/java/martenlatch/request/PendingAttempt.java
+++ b/sidecar/src/main/java/martenlatch/request/PendingAttempt.java
@@ -52,6 +52,16 @@
                         .isPresent();
     }
 
+    /** Returns whether the endpoint is taking the request body, which is written while it is received. */
+    boolean isUploadMoving(double nowMs) {
+        return !ended
+                && transportAttempt != null
+                && transportAttempt
+                        .uploadProgress()
+                        .filter(upload -> nowMs < upload.stoppedAtMs(Double.POSITIVE_INFINITY))
+                        .isPresent();
+    }
+
     /** Looks up how far the response has arrived; called before the attempt is given up, which ends the response. */
     void updateProgress() {
         if (!ended && transportAttempt != null) {
--- a/sidecar/src/main/java/martenlatch/request/PendingRequest.java
+++ b/sidecar/src/main/java/martenlatch/request/PendingRequest.java
@@ -28,6 +28,8 @@
     double deadlineMs;
 
     Scheduler.Timer deadlineTimer;
+    /** Whether the body is written while it arrives. */
+    boolean streamed;
     /** Whether the last byte of the request is still to arrive. */
     boolean bodyIncomplete;
     /** The time by which the last byte of an incomplete body must be forwarded; NaN while it cannot have arrived. */
--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -196,6 +196,7 @@
     private PendingRequest newPendingRequest(
             Request request, Transport transport, ResponseListener listener, boolean bodyIncomplete) {
         PendingRequest created = new PendingRequest(request, scheduler.now(), settings, transport, listener);
+        created.streamed = bodyIncomplete;
         created.bodyIncomplete = bodyIncomplete;
         return created;
     }
@@ -235,7 +236,7 @@
 
     /** Ends a request whose last byte was not forwarded by the deadline; no attempt of it can have been executed. */
     private void endUpload(PendingRequest request) {
-        logger.log("upload not forwarded by the deadline", request.id());
+        logger.logEach("upload not forwarded by the deadline", () -> describeUpload(request));
         for (PendingAttempt attempt : List.copyOf(request.attempts)) {
             giveUp(request, attempt, AttemptOutcome.TIMED_OUT);
         }
@@ -244,6 +245,21 @@
         }
     }
 
+    private String describeUpload(PendingRequest request) {
+        StringBuilder line = new StringBuilder(request.id());
+        for (PendingAttempt attempt : request.attempts) {
+            if (attempt.transportAttempt != null) {
+                attempt.transportAttempt
+                        .uploadProgress()
+                        .ifPresent(progress -> line.append(", ")
+                                .append(attempt.endpointId)
+                                .append(" took ")
+                                .append(progress.describe(scheduler.now())));
+            }
+        }
+        return line.toString();
+    }
+
     /**
      * Called when the last byte of a request has arrived. Starts the timers of the request and its attempts; its
      * deadline is {@code latestMs} at the latest.
@@ -268,11 +284,21 @@
         for (PendingAttempt attempt : request.attempts) {
             if (!attempt.ended) {
                 attempt.startedAtMs = now;
-                startTimeoutTimer(request, attempt, Math.min(attempt.timeoutMs, request.deadlineMs - now));
+                startTimeoutTimer(request, attempt, request.deadlineMs - now);
             }
         }
     }
 
+    /** Called when the request of an attempt is written; the timeout of an upload runs from then on. */
+    private void onRequestWritten(PendingRequest request, PendingAttempt attempt) {
+        if (request.streamed && !request.bodyIncomplete && !attempt.ended) {
+            attempt.cancelTimer();
+            attempt.startedAtMs = scheduler.now();
+            double remainingMs = request.deadlineMs - attempt.startedAtMs;
+            startTimeoutTimer(request, attempt, Math.min(attempt.timeoutMs, remainingMs));
+        }
+    }
+
     /**
      * Caps the deadline of every pending request at {@code latestMs}, so that each gets its final answer before the
      * process exits. An incomplete request is capped if its last byte may have arrived; the others are capped by
@@ -486,6 +512,16 @@
             return request.listener.mayStream();
         }
 
+        @Override
+        public void onRequestWritten() {
+            RequestTracker.this.onRequestWritten(request, attempt);
+        }
+
+        @Override
+        public boolean isTimeLimited() {
+            return !request.bodyIncomplete || !Double.isNaN(request.uploadDueMs);
+        }
+
         @Override
         public void onAttemptFinished(AttemptOutcome outcome, EndpointResponse response) {
             onResponse(request, attempt, outcome, response);
@@ -574,9 +610,13 @@
     private void giveUp(PendingRequest request, PendingAttempt attempt, AttemptOutcome outcome) {
         if (!attempt.ended) {
             attempt.updateProgress();
+            // An endpoint that was taking a long body is not to blame for its length.
+            AttemptOutcome unwrittenOutcome = attempt.isUploadMoving(scheduler.now())
+                    ? AttemptOutcome.NOT_EXECUTED
+                    : AttemptOutcome.CONNECT_ERROR;
             boolean mayBeExecuted = attempt.transportAttempt.giveUp();
             boolean keepsOutcome = mayBeExecuted || outcome == AttemptOutcome.CANCELED;
-            finish(request, attempt, keepsOutcome ? outcome : AttemptOutcome.CONNECT_ERROR);
+            finish(request, attempt, keepsOutcome ? outcome : unwrittenOutcome);
             attempt.neverExecuted |= !mayBeExecuted;
         }
     }
--- a/sidecar/src/main/java/martenlatch/request/Transport.java
+++ b/sidecar/src/main/java/martenlatch/request/Transport.java
@@ -19,6 +19,11 @@
             return Optional.empty();
         }
 
+        /** Returns how the endpoint takes a request body that is written while it arrives; empty if there is none. */
+        default Optional<BodyProgress> uploadProgress() {
+            return Optional.empty();
+        }
+
         /**
          * Reports the response that is arriving, so that it is passed on while the rest arrives; returns false if it
          * has stopped, trickles or has to wait for another response.
@@ -44,6 +49,9 @@
             return true;
         }
 
+        /** Called when the operating system has accepted the last byte of the request. */
+        default void onRequestWritten() {}
+
         /** Called when the attempt has ended; the response is null if none arrived. */
         void onAttemptFinished(AttemptOutcome outcome, EndpointResponse response);
     }
@@ -53,6 +61,11 @@
         /** Returns the time left until the attempt times out, in milliseconds. */
         double remainingMs();
 
+        /** Returns whether the attempt ends at a certain time if its endpoint does nothing. */
+        default boolean isTimeLimited() {
+            return true;
+        }
+
         /** Checks whether the client is still connected; if not, withdraws the attempt and returns false. */
         boolean isClientConnected();
     }
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointAttempt.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointAttempt.java
@@ -4,6 +4,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
 import martenlatch.policy.api.AttemptOutcome;
+import martenlatch.request.BodyProgress;
 import martenlatch.request.EndpointResponse;
 import martenlatch.request.Scheduler;
 import martenlatch.request.Transport;
@@ -106,6 +107,19 @@
     void onWritten() {
         written = true;
         cancelTimer();
+        if (listener != null) {
+            listener.onRequestWritten();
+        }
+    }
+
+    /** Returns whether the attempt ends at a certain time if its endpoint does nothing. */
+    boolean isTimeLimited() {
+        return conditions.isTimeLimited();
+    }
+
+    @Override
+    public Optional<BodyProgress> uploadProgress() {
+        return connection == null ? Optional.empty() : connection.uploadProgress(this);
     }
 
     /** Releases the request message if it will not be written. */
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointConnection.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointConnection.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import martenlatch.net.MemoryBudget;
 import martenlatch.policy.api.AttemptOutcome;
+import martenlatch.request.BodyProgress;
 import martenlatch.request.EndpointResponse;
 import martenlatch.request.RateLimitedLogger;
 import martenlatch.request.Scheduler;
@@ -21,7 +22,7 @@
 /** One connection to an endpoint. It carries one attempt at a time and is idle in between. */
 final class EndpointConnection implements ResponseDecoder.Listener, StreamedRequestBody.Sink {
 
-    /** The time within which a healthy endpoint reads at least some of a request body. */
+    /** The time within which a healthy endpoint reads at least some of a request body that has no deadline yet. */
     private static final int UPLOAD_STALL_MS = 2000;
 
     private final PooledEndpoint endpoint;
@@ -38,6 +39,9 @@
     /** The attempt whose streamed request body is being written, or null. */
     private EndpointAttempt uploadingAttempt;
 
+    /** How the endpoint takes that body; null if none is being written. */
+    private BodyProgress uploadProgress;
+
     private Scheduler.Timer uploadStallTimer;
     private double idleSinceMs;
     /** Whether the response that is being streamed allows the connection to be kept alive. */
@@ -155,6 +159,7 @@
             return;
         }
         uploadingAttempt = sent;
+        uploadProgress = new BodyProgress(scheduler.now());
         channel.writeAndFlush(sent.request());
         // An endpoint may reject a request before the whole body has arrived.
         decoder.expectResponse();
@@ -174,7 +179,13 @@
 
     @Override
     public void onPart(ByteBuf bytes) {
-        channel.writeAndFlush(new DefaultHttpContent(bytes));
+        BodyProgress progress = uploadProgress;
+        int size = bytes.readableBytes();
+        channel.writeAndFlush(new DefaultHttpContent(bytes)).addListener(written -> {
+            if (written.isSuccess()) {
+                progress.onBytes(scheduler.now(), size);
+            }
+        });
         updateUpload();
     }
 
@@ -187,9 +198,14 @@
                 .addListener(written -> onWritten(sent, written.isSuccess()));
     }
 
+    /** Returns how the endpoint takes the request body of this attempt, if it is being written. */
+    Optional<BodyProgress> uploadProgress(EndpointAttempt uploading) {
+        return uploading == uploadingAttempt ? Optional.ofNullable(uploadProgress) : Optional.empty();
+    }
+
     /**
      * Pauses or resumes the streamed request body according to whether the channel is writable. Closes the connection
-     * if the endpoint reads nothing for {@link #UPLOAD_STALL_MS}.
+     * if the endpoint reads nothing for {@link #UPLOAD_STALL_MS}, unless the attempt has a time limit.
      */
     private void updateUpload() {
         if (uploadingAttempt == null) {
@@ -201,7 +217,16 @@
         if (!stalled) {
             cancelUploadStallTimer();
         } else if (uploadStallTimer == null) {
-            uploadStallTimer = scheduler.after(UPLOAD_STALL_MS, this::close);
+            uploadStallTimer = scheduler.after(UPLOAD_STALL_MS, this::onUploadStalled);
+        }
+    }
+
+    private void onUploadStalled() {
+        uploadStallTimer = null;
+        if (uploadingAttempt != null && uploadingAttempt.isTimeLimited()) {
+            updateUpload();
+        } else {
+            close();
         }
     }
 
--- a/sidecar/src/test/java/martenlatch/sidecar/UploadTableTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/UploadTableTest.java
@@ -57,8 +57,10 @@
                 play(remaining.subList(from, to), endpointBufferBytes, objectiveMs, violations, rejected);
             }
             remaining = rejected;
+            System.out.println("upload table: " + remaining.size() + " cells are repeated");
         }
         assertEquals(List.of(), violations, violations.size() + " violations in " + cellCount + " cells");
+        assertEquals(List.of(), remaining, "rejected at once each time");
     }
 
     private static List<Cell> cells() {
