--- a/sidecar/src/main/java/martenlatch/request/BodyProgress.java
+++ b/sidecar/src/main/java/martenlatch/request/BodyProgress.java
@@ -141,7 +141,7 @@
         double recentBytes = windowBytes + previousWindowBytes * Math.max(0, share);
         String text = String.format(
                 Locale.ROOT,
-                "%d bytes, %.0f of them in the last second, last progress %.0f ms ago",
+                "%d bytes, about %.0f of them in the last second, last progress %.0f ms ago",
                 totalBytes,
                 recentBytes,
                 nowMs - lastProgressMs);
