Let no trickle complete what a burst has left over

Callers: an answer whose large part came at once and that trickled for 4.5 s was cut 2.4 s after its time. Cause: bytes counted towards progress however long ago they had come, so that what a burst left below 4 KiB could be completed by a trickle after the time, which then had two seconds more. Change: they count if they come within a second. Unit test: stopped at 3750 ms before where 1000 is expected, held after.

--- a/sidecar/src/main/java/martenlatch/request/BodyProgress.java
+++ b/sidecar/src/main/java/martenlatch/request/BodyProgress.java
@@ -9,7 +9,7 @@
  */
 public final class BodyProgress {
 
-    /** The number of bytes that count as progress. */
+    /** The number of bytes that count as progress if they come within {@link #MAX_PAUSE_MS}. */
     static final int PROGRESS_BYTES = 4096;
     /** The longest pause of a sound body that begins before its deadline. */
     static final int MAX_PAUSE_MS = 1000;
@@ -31,8 +31,10 @@
     private double lastProgressMs;
     /** The time at which progress was made first; NaN if none was. */
     private double firstProgressMs = Double.NaN;
-    /** The number of bytes since progress was made last. */
+    /** The number of bytes that have come since {@link #countingSinceMs}, and are no progress yet. */
     private int bytesSinceProgress;
+
+    private double countingSinceMs;
     /** The longest time between two times of progress. */
     private double longestPauseMs;
     /** The time since which the receiver takes no more; NaN if it does. */
@@ -54,6 +56,10 @@
     /** Called when bytes of the body have arrived. */
     public void onBytes(double nowMs, int bytes) {
         countForRate(nowMs, bytes);
+        if (bytesSinceProgress == 0 || nowMs - countingSinceMs > MAX_PAUSE_MS) {
+            bytesSinceProgress = 0;
+            countingSinceMs = nowMs;
+        }
         bytesSinceProgress += bytes;
         if (bytesSinceProgress < PROGRESS_BYTES) {
             return;
--- a/sidecar/src/test/java/martenlatch/request/BodyProgressTest.java
+++ b/sidecar/src/test/java/martenlatch/request/BodyProgressTest.java
@@ -45,6 +45,15 @@
         assertFalse(progress.mayGoOn(nowMs, DEADLINE_MS));
     }
 
+    /** Guards against a trickle that completes what a burst before it has left over. */
+    @Test
+    void trickleAfterAnUnevenBurstIsNoProgress() {
+        progress.onBytes(0, 70_000);
+        progress.onBytes(1, BodyProgress.PROGRESS_BYTES - 30);
+        assertTrue(stopsWhileReceiving(1, 50, 4000));
+        assertEquals(BodyProgress.MAX_PAUSE_MS, progress.stoppedAtMs(DEADLINE_MS));
+    }
+
     @Test
     void bodyThatHasGoneOnBeyondItsDeadlineMayPauseForLonger() {
         stopsWhileReceiving(50_000, 50, DEADLINE_MS - 50);
