--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -30,6 +30,8 @@
 
     /** The time after its deadline at which a request fails if the balancer has not concluded it. */
     private static final double DEADLINE_SLACK_MS = 5;
+    /** A response is not begun at its deadline if the process ends within this time, which would cut it. */
+    private static final double MIN_STREAMING_MS = 100;
     /** The delay before the local agent is polled again after a failed poll, used if lists are pushed. */
     private static final int PUSHED_LIST_RETRY_MS = 100;
 
@@ -558,7 +560,8 @@
             startTimeoutTimer(request, attempt, remainingMs);
             return;
         }
-        if (response.isEmpty() || !attempt.transportAttempt.passOnResponse()) {
+        boolean hasTimeToGoOn = scheduler.now() + MIN_STREAMING_MS < latestDeadlineMs;
+        if (response.isEmpty() || !hasTimeToGoOn || !attempt.transportAttempt.passOnResponse()) {
             boolean flowing = response.isPresent() && response.get().flowing();
             attempt.responseLatencyMs = Double.NaN;
             // A response that flows, but has to make way for another one, says nothing of its endpoint.
