--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
@@ -27,13 +27,12 @@
 import martenlatch.frontend.http.RequestEvent.StreamedRequest;
 import martenlatch.policy.api.Request;
 import martenlatch.request.RequestTracker.Acceptance;
-import martenlatch.request.Scheduler;
 import martenlatch.upstream.OutgoingRequest;
 import martenlatch.upstream.StreamedRequestBody;
 
 /** A client connection: reads requests, passes them to the request tracker and has responses written in order. */
 final class ClientConnection extends SimpleChannelInboundHandler<RequestEvent>
-        implements StreamedRequestBody.Source, ResponseQueue.Listener {
+        implements StreamedRequestBody.Source, ResponseQueue.Listener, UploadMonitor.Connection {
 
     /** The maximum number of pipelined requests whose responses are not written yet. */
     private static final int MAX_PIPELINED = 8;
@@ -78,10 +77,8 @@
 
     /** Whether the channel is not read because the streamed body arrives faster than it is forwarded. */
     private boolean bodyPaused;
-    /** Knows since when the streamed body may be complete; null if none is being received. */
-    private UploadClock uploadClock;
-    /** Runs after the streamed body was paused, until all that its client had written may have been read; else null. */
-    private Scheduler.Timer catchUpTimer;
+    /** Follows the reading of the streamed body; null if none is being received. */
+    private UploadMonitor uploadMonitor;
     /** The time since which input is left in the socket buffer, as a response is being streamed; else NaN. */
     private double unreadSinceMs = Double.NaN;
     /** Whether a request received its response before its body was complete. */
@@ -201,6 +198,7 @@
             return false;
         }
         responseToIncompleteRequest = null;
+        closeUploadMonitor();
         respondedBeforeBodyEnd = true;
         collector.stop();
         return true;
@@ -213,9 +211,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        if (catchUpTimer != null) {
-            catchUpTimer.cancel();
-        }
+        closeUploadMonitor();
         context.connections().remove(this);
         abandonResponses();
     }
@@ -236,8 +232,8 @@
         responseToIncompleteRequest = null;
         guard.onRequestComplete();
         double nowMs = context.scheduler().now();
-        double writtenAtMs = uploadClock.mayBeCompleteSinceMs();
-        uploadClock = null;
+        double writtenAtMs = uploadMonitor.mayBeCompleteSinceMs();
+        closeUploadMonitor();
         context.requestTracker()
                 .onRequestComplete(
                         complete.requestId(),
@@ -271,9 +267,12 @@
             response.rejectInvalid(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests ahead of answers");
         } else if (event instanceof StreamedRequest streamed) {
             responseToIncompleteRequest = response;
-            startUploadClock(HttpUtil.getContentLength(streamed.head(), -1L));
+            uploadMonitor = new UploadMonitor(
+                    HttpUtil.getContentLength(streamed.head(), -1L), bodyPaused, context.scheduler(), this);
             route(response, streamed.head(), NO_BODY, streamed.body());
-            updateUploadDeadline();
+            if (uploadMonitor != null) {
+                onMayBeComplete(uploadMonitor.mayBeCompleteSinceMs());
+            }
         } else if (event instanceof CompleteRequest complete) {
             route(response, complete.head(), complete.body(), null);
         }
@@ -407,75 +406,46 @@
 
     // ---- streamed request body ----
 
-    private void startUploadClock(long length) {
-        uploadClock = new UploadClock(length, context.scheduler().now());
-        if (bodyPaused) {
-            uploadClock.onPaused(context.scheduler().now());
-        }
-    }
-
     @Override
     public void setPaused(boolean paused) {
         bodyPaused = paused;
         updateReading();
-        if (uploadClock == null) {
-            return;
-        }
-        if (paused) {
-            uploadClock.onPaused(context.scheduler().now());
-            updateUploadDeadline();
-        } else {
-            uploadClock.onResumed(context.scheduler().now());
-            awaitCatchUp();
+        if (uploadMonitor != null) {
+            uploadMonitor.setPaused(paused);
         }
     }
 
     @Override
     public void onBytesReceived(long totalBytes) {
-        if (uploadClock != null) {
-            double dueBeforeMs = uploadClock.mayBeCompleteSinceMs();
-            uploadClock.onBytesRead(context.scheduler().now(), totalBytes);
-            if (Double.isNaN(dueBeforeMs) && !Double.isNaN(uploadClock.mayBeCompleteSinceMs())) {
-                updateUploadDeadline();
-            }
-        }
-    }
-
-    /** Starts the timer that looks whether all that the client had written has been read. */
-    private void awaitCatchUp() {
-        double untilCaughtUpMs = uploadClock.untilCaughtUpMs(context.scheduler().now());
-        if (catchUpTimer == null && !Double.isNaN(untilCaughtUpMs)) {
-            catchUpTimer = context.scheduler().after(untilCaughtUpMs, this::checkCaughtUp);
+        if (uploadMonitor != null) {
+            uploadMonitor.onBytesReceived(totalBytes);
         }
     }
 
-    private void checkCaughtUp() {
-        catchUpTimer = null;
-        if (uploadClock != null && !bodyPaused) {
-            // The event loop may have been busy, so that input was left unread without a pause.
-            guard.readAvailable(MAX_READ_AHEAD_BYTES);
-        }
-        if (uploadClock == null || bodyPaused) {
-            return;
-        }
-        if (uploadClock.untilCaughtUpMs(context.scheduler().now()) > 0) {
-            awaitCatchUp();
-        } else {
-            uploadClock.onCaughtUp();
-            updateUploadDeadline();
-        }
+    /** Reads the input that has arrived, up to a limit, as what was read ahead of a paused body is held. */
+    @Override
+    public void readAhead() {
+        guard.readAvailable(MAX_READ_AHEAD_BYTES);
     }
 
-    private void updateUploadDeadline() {
-        if (uploadClock != null && responseToIncompleteRequest != null && responseToIncompleteRequest.isAwaited()) {
+    @Override
+    public void onMayBeComplete(double sinceMs) {
+        if (responseToIncompleteRequest != null && responseToIncompleteRequest.isAwaited()) {
             context.requestTracker()
                     .onRequestMayBeComplete(
                             responseToIncompleteRequest.requestId(),
-                            uploadClock.mayBeCompleteSinceMs(),
+                            sinceMs,
                             context.state().maxDeadlineMs());
         }
     }
 
+    private void closeUploadMonitor() {
+        if (uploadMonitor != null) {
+            uploadMonitor.close();
+            uploadMonitor = null;
+        }
+    }
+
     @Override
     public void onSinkAttached() {
         // 100 Continue is omitted while earlier responses are pending; the client sends the body anyway after a while.
