Take no upload for caught up while input of it is left unread

Its log line shows that the time was counted from about 0.8 s after the client's last byte. Cause, likely, not proven: the check after 100 ms without a pause reads on only while memory is not short, and took the upload for caught up also where it had not read to the end, so that its time started anew. Change: only what was read to its end is caught up.

--- a/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ClientConnection.java
@@ -424,8 +424,8 @@
 
     /** Reads the input that has arrived, up to a limit, as what was read ahead of a paused body is held. */
     @Override
-    public void readAhead() {
-        guard.readAvailable(MAX_READ_AHEAD_BYTES);
+    public boolean readAhead() {
+        return guard.readAvailable(MAX_READ_AHEAD_BYTES);
     }
 
     @Override
--- a/sidecar/src/main/java/martenlatch/frontend/http/ConnectionGuard.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/ConnectionGuard.java
@@ -179,14 +179,16 @@
 
     /**
      * Reads available input as {@link #readAvailable()} does, until there is none, {@code maxBytes} were read or memory
-     * is short: what is read ahead of a paused body is held, for all clients together.
+     * is short: what is read ahead of a paused body is held, for all clients together. Returns whether there was none
+     * left.
      */
-    void readAvailable(long maxBytes) {
+    boolean readAvailable(long maxBytes) {
         long endBytes = readBytes + maxBytes;
         boolean mayHaveMore = readAvailable();
         while (mayHaveMore && readBytes < endBytes && !memory.isShort()) {
             mayHaveMore = readAvailable();
         }
+        return !mayHaveMore;
     }
 
     @Override
--- a/sidecar/src/main/java/martenlatch/frontend/http/UploadMonitor.java
+++ b/sidecar/src/main/java/martenlatch/frontend/http/UploadMonitor.java
@@ -7,8 +7,8 @@
 
     /** The client's connection, from which the upload is read. */
     interface Connection {
-        /** Reads the input that has arrived, which may end the upload. */
-        void readAhead();
+        /** Reads the input that has arrived, which may end the upload; returns whether it was read to its end. */
+        boolean readAhead();
 
         /**
          * Called when it has changed since when the last byte may have been written.
@@ -76,14 +76,15 @@
 
     private void checkCaughtUp() {
         catchUpTimer = null;
-        if (!paused) {
-            // The event loop may have been busy, so that input was left unread without a pause.
-            connection.readAhead();
-        }
+        // The event loop may have been busy, so that input was left unread without a pause.
+        boolean readToEnd = !paused && connection.readAhead();
         if (paused || closed) {
             return;
         }
-        if (clock.untilCaughtUpMs(scheduler.now()) > 0) {
+        if (!readToEnd) {
+            clock.onResumed(scheduler.now());
+            awaitCatchUp();
+        } else if (clock.untilCaughtUpMs(scheduler.now()) > 0) {
             awaitCatchUp();
         } else {
             clock.onCaughtUp();
