Forward only by a list that the agent has confirmed; hold requests back until then

Cause: whether the list is current was inferred from clocks of EndpointListGate, and nothing remembered that the list in use was never confirmed: EndpointListAge.ageMs said 0 for a list of any age.

Change: EndpointListAge owns whether requests may be forwarded. Pushed lists are in doubt from the start, 4 s after a move, and from a broken watch or an unfinished response on until a later response of the present agent is whole; silence on an open watch raises no doubt, as a silent agent learns nothing. ForwardingMonitor adds the timer and the log lines; the balancer holds requests (HeldRequests, rejected within 0.4 of their time), retries nothing, and attempts that wait for a connection are withdrawn. The wait is used to warm up. SIGHUP is handled during the start, and SIGTERM before the process listens ends it at once: it used to listen after SIGTERM, and SIGKILL does not wait for that. Polls of an agent in doubt do not wait, and are heard out. Operators: GET /list, POST /list/trust.

EndpointListAgeTest walks all 46656 sequences of six events.

Tests replaced, as they asked for the fault: startupWaitIsBoundedIfAgentIsSilent wanted 200 by an unconfirmed list, now ready in time, 503 within half of the client's time and nothing forwarded. sigtermBeforeFirstListCausesCleanExit wanted the process to listen after SIGTERM, now it must not, and SIGHUP must be handled before it. newProcessTakesOverFromOldOne runs beside a sound agent too; beside one that refuses the warm-up comes first.

--- a/extproc/src/main/java/martenlatch/extproc/ExtProcServer.java
+++ b/extproc/src/main/java/martenlatch/extproc/ExtProcServer.java
@@ -25,6 +25,8 @@
 import martenlatch.frontend.extproc.Processor;
 import martenlatch.net.EventLoopScheduler;
 import martenlatch.policy.ConfirmationSchedule;
+import martenlatch.policy.EndpointListAge;
+import martenlatch.policy.api.BalancerSettings;
 import martenlatch.policy.api.RequestClass;
 import martenlatch.request.RateLimitedLogger;
 import martenlatch.request.RequestObserver;
@@ -54,6 +56,8 @@
     private Server server;
     /** Completes when the endpoint list is recent enough for decisions. */
     private final CompletableFuture<EndpointListGate.Reason> endpointListReady = new CompletableFuture<>();
+
+    private BalancerSettings balancerSettings;
     /** The longest deadline of any request class. */
     private double maxDeadlineMs;
 
@@ -75,7 +79,7 @@
             Warmup.run(config, settings, server.loop);
             log.println("martenlatch: warm-up finished after "
                     + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos) + " ms");
-            // The cached list may be of any age, and requests must not be sent to endpoints that have left.
+            // The cached list may be of any age. If it is still unconfirmed then, pushed lists hold requests back.
             EndpointListGate.Reason reason = server.endpointListReady.join();
             log.println("martenlatch: endpoint list: " + reason);
             server.server = listen(settings, server.processor, server.loop);
@@ -92,6 +96,7 @@
         for (RequestClass requestClass : config.settings().classes()) {
             maxDeadlineMs = Math.max(maxDeadlineMs, requestClass.deadlineMs());
         }
+        balancerSettings = config.settings();
         RateLimitedLogger logger = new RateLimitedLogger(scheduler, log);
         EndpointAddresses addresses = new EndpointAddresses();
         SplittableRandom random = new SplittableRandom(config.seed());
@@ -104,6 +109,7 @@
                 config.names(),
                 logger,
                 new ConfirmationSchedule(config.settings().balancerCount(), random.split()),
+                new EndpointListAge(config.settings()),
                 () -> PollTiming.next(config.settings(), random));
         requestTracker = new RequestTracker(
                 scheduler,
@@ -158,7 +164,7 @@
             try {
                 InetSocketAddress discoveryAddress = SiteConfig.read(siteFile).discovery();
                 log.println("martenlatch: configuration reloaded: discovery at " + discoveryAddress);
-                discovery.moveTo(discoveryAddress);
+                discovery.moveTo(discoveryAddress, balancerSettings);
             } catch (IOException | RuntimeException e) {
                 log.println("martenlatch: configuration not reloaded: " + e.getMessage());
             }
--- a/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
+++ b/fleet/src/main/java/martenlatch/fleet/sim/SimSidecar.java
@@ -22,6 +22,7 @@
 import martenlatch.fleet.scenario.ListService;
 import martenlatch.fleet.scenario.Selector.Group;
 import martenlatch.policy.ConfirmationSchedule;
+import martenlatch.policy.EndpointListAge;
 import martenlatch.policy.api.AttemptOutcome;
 import martenlatch.policy.api.BalancerSettings;
 import martenlatch.policy.api.Request;
@@ -177,6 +178,7 @@
                 new SimDiscoveryTransport(),
                 rateLimitedLogger,
                 new ConfirmationSchedule(settings.balancerCount(), pollTimingRandom.split()),
+                new EndpointListAge(settings),
                 () -> PollTiming.next(settings, pollTimingRandom));
         EndpointListGate gate = new EndpointListGate(own, settings, EndpointListGate.DEFAULT_MAX_WAIT_MS, reason -> {
             if (!serving) {
--- a/sidecar/src/main/java/martenlatch/admin/AdminOperations.java
+++ b/sidecar/src/main/java/martenlatch/admin/AdminOperations.java
@@ -40,6 +40,12 @@
         /** Returns the gossip membership view as JSON, or null if gossip is disabled. */
         String gossipView();
 
+        /** Returns the state of the endpoint list in use. */
+        EndpointListState endpointListState();
+
+        /** Forwards requests by the list in use until discovery confirms it; does nothing if it is confirmed. */
+        void trustEndpointList();
+
         /** Replaces the set of endpoints disabled by operators; no new requests are sent to them. */
         void disableEndpoints(Set<String> endpointIds);
     }
@@ -164,6 +170,12 @@
         switch (path) {
             case "/ready" -> respond.accept(state(service.isReady() ? 200 : 503));
             case "/peers" -> respond.accept(gossipView());
+            case "/list" -> respond.accept(listState());
+            case "/list/trust" -> {
+                service.trustEndpointList();
+                logger.info("operator: " + path);
+                respond.accept(listState());
+            }
             case "/drain", "/undrain" -> {
                 service.setDraining(path.equals("/drain"));
                 logger.info("operator: " + path);
@@ -176,8 +188,8 @@
     /** Returns the HTTP method that a path accepts, or null for an unknown path. */
     private static String allowedMethod(String path) {
         return switch (path) {
-            case "/ready", "/peers" -> "GET";
-            case "/drain", "/undrain", "/endpoints/disable", "/endpoints/enable" -> "POST";
+            case "/ready", "/peers", "/list" -> "GET";
+            case "/list/trust", "/drain", "/undrain", "/endpoints/disable", "/endpoints/enable" -> "POST";
             default -> null;
         };
     }
@@ -187,6 +199,10 @@
         return view == null ? AdminResponse.error(404, "started without --peers") : new AdminResponse(200, view);
     }
 
+    private AdminResponse listState() {
+        return new AdminResponse(200, service.endpointListState().toJson());
+    }
+
     private AdminResponse state(int status) {
         StringBuilder json = new StringBuilder("{\"ready\":" + service.isReady() + ",\"disabled\":[");
         String separator = "";
--- a/sidecar/src/main/java/martenlatch/cli/Main.java
+++ b/sidecar/src/main/java/martenlatch/cli/Main.java
@@ -75,26 +75,31 @@
     /** Starts a sidecar that runs until SIGTERM; returns 0, or the exit status for a failed start. */
     static int serve(String configFile, String sharedFolder, boolean gossip, PrintStream errors) {
         // The handler is installed first, as an unhandled SIGHUP terminates the process.
+        CompletableFuture<Sidecar> createdSidecar = new CompletableFuture<>();
         CompletableFuture<Sidecar> startedSidecar = new CompletableFuture<>();
         SignalHandler previousHandler =
-                Signal.handle(new Signal("HUP"), signal -> startedSidecar.thenAccept(Sidecar::reload));
+                Signal.handle(new Signal("HUP"), signal -> createdSidecar.thenAccept(Sidecar::reload));
         if (previousHandler == SignalHandler.SIG_IGN) {
             // The JVM does not handle a signal that was ignored when the process started.
             errors.println("martenlatch: whoever started this process has it ignore SIGHUP (nohup does): "
                     + "a changed configuration holds from the next start on");
         }
-        // Clients may connect before start() returns, so SIGTERM waits for the start-up to finish and then drains.
+        // Clients may connect before serve() returns, so SIGTERM then waits for the start-up to finish and drains.
         StopSignals stopSignals = StopSignals.install();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(startedSidecar, stopSignals, errors), "drain"));
+        Runtime.getRuntime()
+                .addShutdownHook(
+                        new Thread(() -> shutDown(createdSidecar, startedSidecar, stopSignals, errors), "drain"));
         try {
             if (configFile == null || configFile.isBlank()) {
                 throw new IllegalArgumentException("GW_CONFIG must name the configuration file but is " + configFile);
             }
             Path folder = sharedFolder == null ? null : Path.of(sharedFolder);
-            Sidecar sidecar = Sidecar.start(
+            Sidecar sidecar = Sidecar.create(
                     new StartOptions(Path.of(configFile), folder, gossip, StartOptions.DEFAULT_MAX_LIST_WAIT_MS),
                     errors,
                     error -> haltAfterFailure(errors, "the event loop makes no progress for errors: " + error));
+            createdSidecar.complete(sidecar);
+            sidecar.serve();
             startedSidecar.complete(sidecar);
             return 0;
         } catch (IOException | RuntimeException e) {
@@ -112,13 +117,20 @@
      * no thread is left that serves, which must not look like a planned stop.
      */
     private static void shutDown(
-            CompletableFuture<Sidecar> startedSidecar, StopSignals stopSignals, PrintStream errors) {
+            CompletableFuture<Sidecar> createdSidecar,
+            CompletableFuture<Sidecar> startedSidecar,
+            StopSignals stopSignals,
+            PrintStream errors) {
         if (startedSidecar.isCompletedExceptionally()) {
             return;
         }
         if (!stopSignals.received()) {
             haltAfterFailure(errors, "the process ends without a signal, as no thread serves any more");
         }
+        boolean isStopped = createdSidecar.isDone() && createdSidecar.join().stopBeforeListening();
+        if (isStopped) {
+            Runtime.getRuntime().halt(0);
+        }
         drain(startedSidecar);
     }
 
--- a/sidecar/src/main/java/martenlatch/discovery/DiscoveryClient.java
+++ b/sidecar/src/main/java/martenlatch/discovery/DiscoveryClient.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import martenlatch.policy.ConfirmationSchedule;
+import martenlatch.policy.EndpointListAge;
+import martenlatch.policy.api.BalancerSettings;
 import martenlatch.request.EndpointList;
 import martenlatch.request.RateLimitedLogger;
 import martenlatch.request.Scheduler;
@@ -30,6 +32,7 @@
      * Creates a client that sends nothing yet.
      *
      * @param confirmations decides when the list is confirmed beside an open watch
+     * @param age decides whether requests may be forwarded by the list in use
      * @param timing supplies the timing of each poll
      */
     public DiscoveryClient(
@@ -39,12 +42,13 @@
             EndpointListDecoder.Names names,
             RateLimitedLogger logger,
             ConfirmationSchedule confirmations,
+            EndpointListAge age,
             Supplier<PollTiming> timing) {
         this.loop = loop;
         this.scheduler = scheduler;
         this.address = address;
         this.names = names;
-        watcher = new EndpointListWatcher(scheduler, this, logger, confirmations, timing);
+        watcher = new EndpointListWatcher(scheduler, this, logger, confirmations, age, timing);
         connection = newConnection(address);
     }
 
@@ -62,14 +66,28 @@
         watcher.start();
     }
 
-    /** Switches to another address, where polling begins when the listener starts it. Ignores the current address. */
-    public void moveTo(InetSocketAddress next) {
-        if (!next.equals(address)) {
+    /**
+     * Applies new settings and switches to another address, where polling begins when the listener starts it. The same
+     * address is another discovery if it now pushes lists or no longer does.
+     */
+    public void moveTo(InetSocketAddress next, BalancerSettings settings) {
+        boolean modeChanged = watcher.onSettingsChanged(settings);
+        if (modeChanged || !next.equals(address)) {
             address = next;
             watcher.onMoved();
         }
     }
 
+    /** Forwards requests by the list in use until discovery confirms it, as an operator has decided. */
+    public void trustList() {
+        watcher.trustList();
+    }
+
+    /** Returns the state of the list in use. */
+    public EndpointListAge listAge() {
+        return watcher.listAge();
+    }
+
     @Override
     public void send(Poll poll) {
         connection.send(poll);
@@ -112,6 +130,11 @@
             watcher.onResponseBytes(poll, count);
         }
 
+        @Override
+        public void onResent(long poll) {
+            watcher.onResent(poll);
+        }
+
         @Override
         public void onList(long poll, EndpointList list) {
             watcher.onList(poll, list);
--- a/sidecar/src/main/java/martenlatch/discovery/DiscoveryConnection.java
+++ b/sidecar/src/main/java/martenlatch/discovery/DiscoveryConnection.java
@@ -38,6 +38,9 @@
         /** Called when bytes of a response arrive, before the response is complete. */
         void onResponseBytes(long poll, int count);
 
+        /** Called when the connection of a poll was lost and the poll was sent again on a new one. */
+        void onResent(long poll);
+
         /** Called when a complete endpoint list has arrived; the poll is finished. */
         void onList(long poll, EndpointList list);
 
@@ -146,6 +149,8 @@
     private void onConnectionEnded(Object cause) {
         if (outstanding != null && scheduler.now() < closeRaceUntilMs) {
             channel = null;
+            outstanding = outstanding.forResending();
+            listener.onResent(outstanding.number());
             connect(outstanding);
         } else {
             fail(cause);
--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListGate.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListGate.java
@@ -6,16 +6,17 @@
 import martenlatch.request.Scheduler;
 
 /**
- * Delays serving at startup until the endpoint list is current, because the list in the configuration may be of any
+ * Delays readiness at startup until the endpoint list is current, because the list in the configuration may be of any
  * age. Only a response from discovery shows that the list is current; an open poll may still be rejected.
  *
- * <p>The wait is bounded so that an outage of discovery does not keep sidecars from serving. If lists are polled, the
- * wait also ends with the first poll that cannot connect, as no change counts as notified while discovery is
- * unreachable. If lists are pushed, a local agent that refuses connections has not started yet, and its changes count
- * as notified already, so the wait goes on.
+ * <p>The wait is bounded, as a process has to be ready in time even during an outage of discovery. The end of the wait
+ * says nothing about the list: whether requests are forwarded is decided by
+ * {@link martenlatch.policy.EndpointListAge}. If lists are polled, they are forwarded by the list of the configuration.
+ * The wait then also ends with the first poll that cannot connect, as no change counts as notified while discovery is
+ * unreachable. While bytes of a response arrive, the list is likely to be complete soon, so the wait goes on for a
+ * bounded time. If lists are pushed, requests are held back until the local agent has answered.
  *
- * <p>While bytes of a response arrive, the list is likely to be complete soon, so the wait goes on for a bounded time.
- * This class does no I/O and is called on the event loop.
+ * <p>This class does no I/O and is called on the event loop.
  */
 public final class EndpointListGate {
 
@@ -25,13 +26,13 @@
         LIST_CURRENT,
         /** No connection to discovery could be established. */
         DISCOVERY_UNREACHABLE,
-        /** The maximum wait has passed, and the list in use is still that of the configuration. */
+        /** The maximum wait has passed, and the list is still that of the configuration. */
         TIMED_OUT
     }
 
     /** Notified once when the wait ends. */
     public interface Listener {
-        /** Called when the process may start to serve clients. */
+        /** Called when the process may become ready. */
         void onOpen(Reason reason);
     }
 
@@ -41,8 +42,11 @@
      */
     public static final long DEFAULT_MAX_WAIT_MS = 7_000;
 
-    /** The local agent responds at once; if it is silent for this long, it has lost its connection to discovery. */
-    private static final double MAX_AGENT_SILENCE_MS = 2000;
+    /**
+     * The maximum wait for a local agent. Together with the rest of the startup it stays below the 6 s within which a
+     * restarted sidecar has to be ready at the latest.
+     */
+    private static final double MAX_AGENT_WAIT_MS = 4_000;
 
     /** The time by which the maximum wait is exceeded at most while bytes of a response arrive. */
     private static final double MAX_WAIT_FOR_ARRIVING_RESPONSE_MS = 2_000;
@@ -59,7 +63,6 @@
     private final double latestOpenAtMs;
     private double lastBytesAtMs = Double.NEGATIVE_INFINITY;
     private boolean open;
-    private boolean unreachable;
 
     /**
      * Creates a closed gate and starts its timers.
@@ -72,10 +75,12 @@
         this.scheduler = scheduler;
         this.listener = listener;
         pollsEndpointList = settings.pollsEndpointList();
-        latestOpenAtMs = scheduler.now() + maxWaitMs + MAX_WAIT_FOR_ARRIVING_RESPONSE_MS;
-        scheduler.after(maxWaitMs, this::onMaxWaitOver);
-        if (!pollsEndpointList) {
-            scheduler.after(MAX_AGENT_SILENCE_MS, this::onAgentSilent);
+        if (pollsEndpointList) {
+            latestOpenAtMs = scheduler.now() + maxWaitMs + MAX_WAIT_FOR_ARRIVING_RESPONSE_MS;
+            scheduler.after(maxWaitMs, this::onMaxWaitOver);
+        } else {
+            latestOpenAtMs = scheduler.now() + Math.min(maxWaitMs, MAX_AGENT_WAIT_MS);
+            scheduler.after(latestOpenAtMs - scheduler.now(), () -> open(Reason.TIMED_OUT));
         }
     }
 
@@ -87,14 +92,6 @@
         }
     }
 
-    private void onAgentSilent() {
-        if (isResponseArriving()) {
-            scheduler.after(CHECK_INTERVAL_MS, this::onAgentSilent);
-        } else if (!unreachable) {
-            open(Reason.TIMED_OUT);
-        }
-    }
-
     private boolean isResponseArriving() {
         return !open && scheduler.now() - lastBytesAtMs < STALL_TIMEOUT_MS;
     }
@@ -122,8 +119,7 @@
             @Override
             public void onPollFailed(PollFailure failure, double listAgeMs) {
                 next.onPollFailed(failure, listAgeMs);
-                unreachable = failure == PollFailure.UNREACHABLE;
-                if (unreachable && pollsEndpointList) {
+                if (failure == PollFailure.UNREACHABLE && pollsEndpointList) {
                     open(Reason.DISCOVERY_UNREACHABLE);
                 }
             }
@@ -132,6 +128,11 @@
             public void onDiscoveryMoved(double listAgeMs) {
                 next.onDiscoveryMoved(listAgeMs);
             }
+
+            @Override
+            public void onForwardingChanged(boolean allowed) {
+                next.onForwardingChanged(allowed);
+            }
         };
     }
 
--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 import martenlatch.policy.ConfirmationSchedule;
 import martenlatch.policy.EndpointListAge;
+import martenlatch.policy.api.BalancerSettings;
 import martenlatch.policy.api.PollFailure;
 import martenlatch.request.EndpointList;
 import martenlatch.request.RateLimitedLogger;
@@ -45,13 +46,16 @@
     private final RateLimitedLogger logger;
     private final PollLog pollLog;
     private final Supplier<PollTiming> timing;
-    private final EndpointListAge age = new EndpointListAge();
+    private final EndpointListAge age;
+    private final ForwardingMonitor forwarding;
     private final ConfirmationPolls confirmations;
     private EndpointList.Listener listener;
     /** The last version received from discovery at the current address; if empty, the whole list is requested. */
     private OptionalLong knownVersion = OptionalLong.empty();
     /** Whether discovery has sent this process a list; until then the list in use may be of any age. */
     private boolean hasReceivedList;
+    /** Whether the last poll has timed out without a word; the next one is then answered at once, if at all. */
+    private boolean lastPollSilent;
 
     private long lastPollNumber;
     /** The number of moves of discovery, which identifies its current address. */
@@ -74,6 +78,7 @@
      * Creates a watcher that sends nothing yet.
      *
      * @param schedule decides when the list is confirmed beside an open watch
+     * @param age decides whether requests may be forwarded by the list in use
      * @param timing supplies the timing of each poll
      */
     public EndpointListWatcher(
@@ -81,12 +86,15 @@
             DiscoveryTransport transport,
             RateLimitedLogger logger,
             ConfirmationSchedule schedule,
+            EndpointListAge age,
             Supplier<PollTiming> timing) {
         this.scheduler = scheduler;
         this.transport = transport;
         this.logger = logger;
         pollLog = new PollLog(scheduler, logger);
         this.timing = timing;
+        this.age = age;
+        forwarding = new ForwardingMonitor(scheduler, logger, age);
         confirmations = new ConfirmationPolls(scheduler, transport, pollLog, schedule, this::nextConfirmation);
     }
 
@@ -94,6 +102,22 @@
     public void setListener(EndpointList.Listener next, long version) {
         listener = next;
         knownVersion = OptionalLong.of(version);
+        forwarding.setListener(next);
+    }
+
+    /** Applies new settings; returns whether lists are now pushed and were polled before, or the other way round. */
+    boolean onSettingsChanged(BalancerSettings settings) {
+        boolean wasPushed = age.isPushed();
+        forwarding.onSettingsChanged(settings);
+        return age.isPushed() != wasPushed;
+    }
+
+    void trustList() {
+        forwarding.onTrusted();
+    }
+
+    EndpointListAge listAge() {
+        return age;
     }
 
     /**
@@ -105,13 +129,13 @@
         if (outstanding != null) {
             return;
         }
-        startDeferred = isResponseDueFromPreviousAddress();
+        startDeferred = !age.isPushed() && isResponseDueFromPreviousAddress();
         if (startDeferred) {
             scheduler.after(remainingDeferralMs(), this::startIfDeferred);
             return;
         }
         lastPollNumber++;
-        PollTiming next = hasReceivedList ? timing.get() : timing.get().withoutWait();
+        PollTiming next = mayWait() ? timing.get() : timing.get().withoutWait();
         Poll poll = new Poll(lastPollNumber, knownVersion, next);
         double maxResponseMs = next.maxResponseMs() * (1 << Math.min(slowResponses, MAX_RESPONSE_TIME_DOUBLINGS));
         outstanding = new OutstandingPoll(scheduler, poll, addressNumber, maxResponseMs, this::onTimeout);
@@ -122,6 +146,12 @@
         }
     }
 
+    /** Returns whether discovery may hold the next poll; it may not while the list has yet to be confirmed. */
+    private boolean mayWait() {
+        boolean isAgentInDoubt = age.isPushed() && (age.doubt() != null || lastPollSilent);
+        return hasReceivedList && !isAgentInDoubt;
+    }
+
     /** Ends a deferral if the poll at a previous address is overdue: its connection may have fallen silent. */
     private void startIfDeferred() {
         if (startDeferred) {
@@ -165,6 +195,7 @@
             endSuperseded(superseded.getFirst());
         }
         pollLog.onMoved();
+        forwarding.onMoved();
         listener.onDiscoveryMoved(age.ageMs(scheduler.now()));
     }
 
@@ -181,11 +212,32 @@
         }
         if (!responding.hasResponseStarted()) {
             pollLog.onResponseStarted(poll);
+            responding.onBytes(count);
+            onResponseStarted(responding);
+        } else {
+            responding.onBytes(count);
         }
-        responding.onBytes(count);
         listener.onResponseBytes();
     }
 
+    /** The response to an open watch may tell a change; one to a poll without a wait comes in any case. */
+    private void onResponseStarted(OutstandingPoll responding) {
+        Poll poll = responding.poll();
+        boolean isOpenWatch = poll.isWatch() && !poll.timing().isWithoutWait();
+        boolean isCurrent = responding.addressNumber() == addressNumber
+                && poll.knownVersion().equals(knownVersion);
+        if (isOpenWatch && isCurrent) {
+            forwarding.onResponseStarted();
+        }
+    }
+
+    /** Called when the connection of a poll was lost and the poll was sent again, so that no watch was open between. */
+    public void onResent(long poll) {
+        if (outstanding != null && outstanding.number() == poll) {
+            forwarding.onWatchBroken();
+        }
+    }
+
     /**
      * Called when an endpoint list arrives. If the poll was sent without a wait, the listener decides when a watch is
      * started. Otherwise the next watch is sent before the listener is called, so that the gap between the two polls is
@@ -203,16 +255,18 @@
         }
         pollLog.onList(answered, list);
         hasReceivedList = true;
+        lastPollSilent = false;
         boolean isOutdated = answered.isOutdated(list.version());
         endUpTo(answered);
         if (!isOutdated) {
-            onConfirmed(answered);
+            onConfirmed(answered, answered.addressNumber() == addressNumber);
         }
         if (answered.addressNumber() == addressNumber) {
             onListFromCurrentAddress(answered.poll(), list.version(), isOutdated);
         }
         if (!isOutdated) {
             listener.onEndpointList(list);
+            forwarding.update();
         }
         if (outstanding == null && !isResponseDueFromPreviousAddress()) {
             startDeferred = false;
@@ -220,9 +274,9 @@
         }
     }
 
-    private void onConfirmed(OutstandingPoll answered) {
+    private void onConfirmed(OutstandingPoll answered, boolean isCurrentDiscovery) {
         double confirmedAtMs = scheduler.now() - answered.responseMs();
-        age.onConfirmed(confirmedAtMs);
+        age.onConfirmed(confirmedAtMs, isCurrentDiscovery);
         confirmations.onConfirmed(confirmedAtMs);
     }
 
@@ -244,7 +298,7 @@
             restartSilentWatch(outstanding, list.version());
             return;
         }
-        onConfirmed(confirmation);
+        onConfirmed(confirmation, true);
         if (!isUnchanged) {
             applyConfirmation(list);
         }
@@ -330,17 +384,24 @@
         }
         endOutstanding();
         transport.abort();
+        forwarding.onWatchBroken();
         reportFailure(failed, failureOf(cause), cause);
     }
 
     private void reportFailure(OutstandingPoll failed, PollFailure failure, Object cause) {
         lastResponseStalled = false;
         double listAgeMs = age.ageMs(scheduler.now());
-        logger.log("discovery failed", cause + ", list confirmed " + Math.round(listAgeMs) + " ms ago");
+        logger.log("discovery failed", cause + ", list " + describeAge(listAgeMs));
         confirmations.onPollFailed(failed, failure);
         listener.onPollFailed(failure, listAgeMs);
     }
 
+    private static String describeAge(double listAgeMs) {
+        return listAgeMs < Double.POSITIVE_INFINITY
+                ? "confirmed " + Math.round(listAgeMs) + " ms ago"
+                : "never confirmed";
+    }
+
     private static PollFailure failureOf(Object cause) {
         if (cause instanceof ConnectException) {
             return PollFailure.UNREACHABLE;
@@ -355,6 +416,7 @@
     private void onTimeout(OutstandingPoll timedOut) {
         String detail = timedOut.describeProgress();
         boolean isSlow = timedOut.isSlow();
+        lastPollSilent = !timedOut.hasResponseStarted();
         boolean continues = moveToBackground(timedOut, detail);
         if (timedOut != outstanding) {
             onSupersededTimeout(timedOut, continues, detail);
--- a/sidecar/src/main/java/martenlatch/discovery/Poll.java
+++ b/sidecar/src/main/java/martenlatch/discovery/Poll.java
@@ -21,6 +21,11 @@
                 : PATH;
     }
 
+    /** Returns this poll as it is sent again on another connection. */
+    Poll forResending() {
+        return new Poll(number, knownVersion, timing.forResending());
+    }
+
     /** Returns whether this is a watch, a poll for changes to a known version. */
     boolean isWatch() {
         return knownVersion.isPresent();
--- a/sidecar/src/main/java/martenlatch/discovery/PollTiming.java
+++ b/sidecar/src/main/java/martenlatch/discovery/PollTiming.java
@@ -11,9 +11,15 @@
  * @param fullListTimeoutMs the time by which the response to a poll for the whole list must have begun
  * @param stallTimeoutMs the longest time without bytes of a response that has begun
  * @param maxResponseMs the time that a response may take while bytes of it arrive, before another poll is sent
+ * @param isAgent whether a local agent is polled, which answers at once and is polled often
  */
 public record PollTiming(
-        long waitMs, double responseTimeoutMs, double fullListTimeoutMs, double stallTimeoutMs, double maxResponseMs) {
+        long waitMs,
+        double responseTimeoutMs,
+        double fullListTimeoutMs,
+        double stallTimeoutMs,
+        double maxResponseMs,
+        boolean isAgent) {
 
     /** The timeout of a poll for the whole list. An overloaded discovery rejects polls that have waited for 2 s. */
     public static final int FULL_LIST_TIMEOUT_MS = 3_000;
@@ -55,6 +61,9 @@
 
     private static final int AGENT_RESPONSE_TIMEOUT_MS = 100;
 
+    /** The longest wait of a poll of the local agent that is sent again because its connection was lost. */
+    private static final int AGENT_RESEND_WAIT_MS = 100;
+
     /**
      * Returns the timing of the next poll. If lists are polled, the wait is one to two poll intervals at random, so
      * that watches that broke or ended together do not restart together. This needs no more polls than the settings
@@ -67,17 +76,13 @@
                     AGENT_RESPONSE_TIMEOUT_MS,
                     AGENT_WAIT_MS,
                     AGENT_RESPONSE_TIMEOUT_MS,
-                    AGENT_RESPONSE_TIMEOUT_MS);
+                    AGENT_RESPONSE_TIMEOUT_MS,
+                    true);
         }
         double waitMs = settings.rules().pollIntervalMs() * (1 + random.nextDouble());
         long boundedMs = (long) Math.max(MIN_WAIT_MS, Math.min(MAX_WAIT_MS, waitMs));
         return new PollTiming(
-                boundedMs, RESPONSE_TIMEOUT_MS, FULL_LIST_TIMEOUT_MS, RESPONSE_TIMEOUT_MS, MAX_RESPONSE_MS);
-    }
-
-    /** Returns whether this is the timing of polls of a local agent, which are repeated often. */
-    boolean isAgent() {
-        return waitMs < MIN_WAIT_MS && !isWithoutWait();
+                boundedMs, RESPONSE_TIMEOUT_MS, FULL_LIST_TIMEOUT_MS, RESPONSE_TIMEOUT_MS, MAX_RESPONSE_MS, false);
     }
 
     /** Returns whether discovery answers at once, whether or not there is a newer version. */
@@ -91,8 +96,15 @@
      * in the queue of discovery, because a poll that is aborted there has to queue again.
      */
     PollTiming withoutWait() {
-        return isAgent()
-                ? this
-                : new PollTiming(NO_WAIT_MS, NO_WAIT_TIMEOUT_MS, fullListTimeoutMs, stallTimeoutMs, maxResponseMs);
+        double timeoutMs = isAgent ? AGENT_WAIT_MS + AGENT_RESPONSE_TIMEOUT_MS : NO_WAIT_TIMEOUT_MS;
+        return new PollTiming(NO_WAIT_MS, timeoutMs, fullListTimeoutMs, stallTimeoutMs, maxResponseMs, isAgent);
+    }
+
+    /** Returns the timing of a poll that is sent again; an agent then has to confirm the list soon. */
+    PollTiming forResending() {
+        return isAgent && waitMs > AGENT_RESEND_WAIT_MS
+                ? new PollTiming(
+                        AGENT_RESEND_WAIT_MS, responseTimeoutMs, fullListTimeoutMs, stallTimeoutMs, maxResponseMs, true)
+                : this;
     }
 }
--- a/sidecar/src/main/java/martenlatch/policy/EndpointListPolling.java
+++ b/sidecar/src/main/java/martenlatch/policy/EndpointListPolling.java
@@ -85,7 +85,7 @@
     /**
      * Called when a poll has failed or a watch has ended; returns the delay of the next poll.
      *
-     * @param listAgeMs the time since discovery last confirmed the list, in milliseconds; 0 if it never did
+     * @param listAgeMs the time since discovery last confirmed the list, in milliseconds; infinite if it never did
      */
     double delayAfterFailure(double nowMs, PollFailure failure, double listAgeMs, BalancerSettings settings) {
         boolean isFirst = failures == 0;
@@ -108,7 +108,9 @@
     double delayAfterMove(double nowMs, double listAgeMs, BalancerSettings settings) {
         hasMoved = true;
         double allowedMs = Math.min(MAX_DELAY_MS, settings.rules().pollIntervalMs() / 2);
-        return schedule(nowMs, spreadOverFleet(settings, Math.min(allowedMs, maxDelayAtAgeMs(listAgeMs, settings))));
+        return schedule(
+                nowMs,
+                spreadOverFleet(settings, Math.min(allowedMs, maxDelayAtAgeMs(knownAgeMs(listAgeMs), settings))));
     }
 
     /** Returns whether a poll is due, and marks it as sent; a leftover timer of an earlier poll finds none due. */
@@ -137,10 +139,17 @@
     private static double maxDelayAfterFailureMs(
             double failedAfterMs, boolean isFirst, double listAgeMs, BalancerSettings settings) {
         boolean wasOpenWatch = failedAfterMs > MAX_POLL_DURATION_MS;
-        double unconfirmedMs = wasOpenWatch ? listAgeMs : isFirst ? Math.max(failedAfterMs, listAgeMs) : failedAfterMs;
+        double confirmedMs = knownAgeMs(listAgeMs);
+        double unconfirmedMs =
+                wasOpenWatch ? confirmedMs : isFirst ? Math.max(failedAfterMs, confirmedMs) : failedAfterMs;
         return Math.min(MAX_DELAY_MS, maxDelayAtAgeMs(unconfirmedMs, settings));
     }
 
+    /** Returns the age of the list; 0 if discovery never sent one, as the budget then counts from the polls alone. */
+    private static double knownAgeMs(double listAgeMs) {
+        return listAgeMs < Double.POSITIVE_INFINITY ? listAgeMs : 0;
+    }
+
     /** Returns what is left of the budget, or a short time in which a fleet with overdue lists spreads its polls. */
     private static double maxDelayAtAgeMs(double unconfirmedMs, BalancerSettings settings) {
         double overdueSpreadMs =
--- a/sidecar/src/main/java/martenlatch/policy/LoadBalancer.java
+++ b/sidecar/src/main/java/martenlatch/policy/LoadBalancer.java
@@ -25,6 +25,7 @@
     private static final double MAX_BASE_RISE = 1.02; // largest factor by which one sample raises the base latency
 
     private static final long POLL_TIMER = 1; // name of the timer for the next poll of the endpoint list
+    private static final long HELD_TIMER = 2; // name of the timers for requests that are held
 
     private final BalancerActions actions;
     private final SplittableRandom random;
@@ -41,6 +42,8 @@
     private final Map<String, PendingRequest> pendingRequests = new HashMap<>();
     private final Map<String, LatencyEstimator> latencies = new HashMap<>(); // by class name
 
+    private final HeldRequests held = new HeldRequests();
+    private boolean forwardingAllowed = true;
     private double nextRefillMs;
 
     /** Creates a load balancer without endpoints; the same seed gives the same random choices. */
@@ -95,14 +98,22 @@
         pendingRequests.put(request.id(), pending);
         locality.recordDemand(latency.baseMs());
         retries.onRequest();
+        if (forwardingAllowed) {
+            admit(nowMs, pending);
+        } else {
+            actions.scheduleTimer(held.add(nowMs, pending), HELD_TIMER);
+        }
+    }
+
+    private void admit(double nowMs, PendingRequest pending) {
         if (!admission.admit(nowMs, pending) || !forward(nowMs, pending)) {
             rejectOrFail(pending);
         }
     }
 
-    /** Sends the request's next attempt; returns false if no slot is available. */
+    /** Sends the request's next attempt; returns false if none may be sent or no slot is available. */
     private boolean forward(double nowMs, PendingRequest pending) {
-        Slot slot = selector.select(nowMs, pending);
+        Slot slot = forwardingAllowed ? selector.select(nowMs, pending) : null;
         if (slot == null) {
             return false;
         }
@@ -157,7 +168,7 @@
         limiter.onAttemptFinished(nowMs, pending, attempt, result);
         boolean responseComplete = !pending.begunResponses.get(result.attempt());
         outliers.onAttemptFinished(
-                nowMs, attempt.slot(), result.outcome(), isFailure(pending, result), responseComplete);
+                nowMs, attempt.slot(), result.outcome(), pending.isFailure(result), responseComplete);
         registry.removeIfGone(nowMs, attempt.slot().endpoint);
         if (result.answered()) {
             pending.answered = true;
@@ -168,15 +179,6 @@
         removeIfComplete(pending);
     }
 
-    /** Returns whether an outcome counts as the endpoint's failure; a time-out does only beyond the tail latency. */
-    private static boolean isFailure(PendingRequest pending, AttemptResult result) {
-        return switch (result.outcome()) {
-            case FAILED, CONNECT_ERROR, RESET -> true;
-            case TIMED_OUT -> result.durationMs() >= pending.latency.tailMs();
-            default -> false;
-        };
-    }
-
     /** Updates the latency estimates of the request's class and the endpoint's slowness with a response or time-out. */
     private void recordLatency(double nowMs, PendingRequest pending, EndpointState endpoint, AttemptResult result) {
         boolean ok = result.outcome() == AttemptOutcome.OK;
@@ -229,6 +231,7 @@
             return;
         }
         pending.answered = true;
+        held.remove(pending);
         // Cancelling spares the endpoints work on requests whose client has gone.
         for (int i = 0; i < pending.attempts.size() && state.settings.limits().cancellation(); i++) {
             if (pending.isInFlight(i)) {
@@ -295,6 +298,15 @@
         limiter.initialize();
     }
 
+    @Override
+    public void onForwardingChanged(double nowMs, boolean allowed) {
+        refillIfDue(nowMs);
+        forwardingAllowed = allowed;
+        if (allowed) {
+            held.takeAll().forEach(pending -> admit(nowMs, pending));
+        }
+    }
+
     @Override
     public void onSettingsChanged(double nowMs, BalancerSettings next) {
         apply(next);
@@ -305,7 +317,9 @@
     @Override
     public void onTimer(double nowMs, long name) {
         refillIfDue(nowMs);
-        if (name == POLL_TIMER && polling.takeDuePoll(nowMs)) {
+        if (name == HELD_TIMER) {
+            held.takeExpired(nowMs).forEach(this::rejectOrFail);
+        } else if (name == POLL_TIMER && polling.takeDuePoll(nowMs)) {
             actions.pollEndpointList();
         }
     }
--- a/sidecar/src/main/java/martenlatch/policy/PendingRequest.java
+++ b/sidecar/src/main/java/martenlatch/policy/PendingRequest.java
@@ -45,6 +45,15 @@
         return attempt < attempts.size() && !endedAttempts.get(attempt);
     }
 
+    /** Returns whether an outcome counts as the endpoint's failure; a time-out does only beyond the tail latency. */
+    boolean isFailure(AttemptResult result) {
+        return switch (result.outcome()) {
+            case FAILED, CONNECT_ERROR, RESET -> true;
+            case TIMED_OUT -> result.durationMs() >= latency.tailMs();
+            default -> false;
+        };
+    }
+
     boolean hasTried(EndpointState endpoint) {
         return attempts.stream().anyMatch(attempt -> attempt.slot().endpoint == endpoint);
     }
--- a/sidecar/src/main/java/martenlatch/policy/api/BalancerEvents.java
+++ b/sidecar/src/main/java/martenlatch/policy/api/BalancerEvents.java
@@ -18,7 +18,7 @@
     /**
      * Called when a poll has failed or a watch has ended, so that the next poll must be scheduled.
      *
-     * @param listAgeMs the time since discovery last confirmed the list, in milliseconds; 0 if it never did
+     * @param listAgeMs the time since discovery last confirmed the list, in milliseconds; infinite if it never did
      */
     void onPollFailed(double nowMs, PollFailure failure, double listAgeMs);
 
@@ -36,6 +36,12 @@
      */
     void onPollCompleted(double nowMs, double listAgeMs);
 
+    /**
+     * Called when requests may no longer be forwarded, because the endpoint list may lack changes that count as
+     * notified, and when they may again. At first they may. Attempts in flight go on.
+     */
+    void onForwardingChanged(double nowMs, boolean allowed);
+
     /**
      * Called when operators have changed the set of disabled endpoints. Each endpoint in the set counts as draining,
      * whatever its listed status is, until a later call omits it.
--- a/sidecar/src/main/java/martenlatch/request/EndpointList.java
+++ b/sidecar/src/main/java/martenlatch/request/EndpointList.java
@@ -40,7 +40,7 @@
         /**
          * Called when a poll fails; the listener has to start the next poll.
          *
-         * @param listAgeMs the time since discovery last confirmed the list, in milliseconds; 0 if it never did
+         * @param listAgeMs the time since discovery last confirmed the list, in milliseconds; infinite if it never did
          */
         void onPollFailed(PollFailure failure, double listAgeMs);
 
@@ -50,6 +50,9 @@
          * @param listAgeMs as in {@link #onPollFailed}
          */
         void onDiscoveryMoved(double listAgeMs);
+
+        /** Called when requests may no longer be forwarded by the list in use, and when they may again. */
+        default void onForwardingChanged(boolean allowed) {}
     }
 
     /** Returns the endpoints without their addresses, for the load balancer. */
--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -458,6 +458,13 @@
         }
     }
 
+    @Override
+    public void onForwardingChanged(boolean allowed) {
+        connections.setForwardingAllowed(allowed);
+        events.enqueue(now -> balancer.onForwardingChanged(now, allowed));
+        connections.withdrawAttempts();
+    }
+
     // ---- Attempts ----
 
     @Override
@@ -675,6 +682,7 @@
                 unservedRequests.log(request, Reason.REJECTED);
             }
             request.listener.onRejected(retryAfterMs);
+            removeAfterDispatch(request);
         }
     }
 
@@ -683,9 +691,15 @@
         PendingRequest request = pending.get(requestId);
         if (request != null && !request.concluded) {
             fail(request);
+            removeAfterDispatch(request);
         }
     }
 
+    /** Has a request removed that the balancer has concluded in an event of another request, or of none. */
+    private void removeAfterDispatch(PendingRequest request) {
+        events.enqueue(request, now -> {});
+    }
+
     private void fail(PendingRequest request) {
         conclude(request, Conclusion.FAILED, 0);
         unservedRequests.log(request, Reason.FAILED);
--- a/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/Sidecar.java
@@ -10,7 +10,10 @@
 import java.util.Map;
 import java.util.TimeZone;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import martenlatch.discovery.EndpointListGate;
@@ -22,6 +25,21 @@
 /** A running sidecar: its components on one event loop, which is the only thread that accesses them. */
 public final class Sidecar {
 
+    /** The time within which a local agent that can respond does so, also to a process that is starting. */
+    private static final int PROMPT_AGENT_MS = 350;
+
+    /** The longest time, after the wait for the endpoint list, that a process leaves its clients to its predecessor. */
+    private static final int MAX_PREDECESSOR_WAIT_MS = 5_000;
+
+    private static final int PREDECESSOR_CHECK_INTERVAL_MS = 50;
+
+    /** How far the start of this sidecar has come. */
+    private enum Phase {
+        STARTING,
+        LISTENING,
+        STOPPED
+    }
+
     private final StartOptions options;
     private final PrintStream log;
     private final ResilientEventLoopGroup group;
@@ -30,6 +48,10 @@
     private SidecarParts parts;
     private InetSocketAddress address;
     private InetSocketAddress adminAddress;
+    /** The configuration that the sidecar was created with. */
+    private SiteConfig startConfig;
+    /** Changed by the thread that starts the sidecar and by the one that stops it. */
+    private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.STARTING);
 
     private Sidecar(StartOptions options, PrintStream log, Consumer<Throwable> onFailure) {
         this.options = options;
@@ -66,18 +88,22 @@
      * @throws IllegalArgumentException if the configuration cannot be used; its message names field and value
      */
     public static Sidecar start(StartOptions options, PrintStream log) throws IOException {
-        return start(
+        Sidecar sidecar = create(
                 options,
                 log,
                 error -> log.println("martenlatch: the event loop makes no progress for errors: " + error));
+        sidecar.serve();
+        return sidecar;
     }
 
     /**
-     * Starts a sidecar as above.
+     * Creates a sidecar that polls discovery and does not listen until {@link #serve} is called.
      *
      * @param onFailure called on the event loop when errors keep it from making progress, so that no request is served
+     * @throws IOException if the configuration file cannot be read
+     * @throws IllegalArgumentException if the configuration cannot be used; its message names field and value
      */
-    public static Sidecar start(StartOptions options, PrintStream log, Consumer<Throwable> onFailure)
+    public static Sidecar create(StartOptions options, PrintStream log, Consumer<Throwable> onFailure)
             throws IOException {
         SiteConfig config = SiteConfig.read(options.configFile());
         // Netty's logger formats local times. The first line reads the time zone rules from a file, which fails when no
@@ -87,20 +113,33 @@
                 + config.cachedEndpointList().version() + " of the endpoint list, "
                 + config.cachedEndpointList().entries().size() + " endpoints, discovery at " + config.discovery());
         Sidecar sidecar = new Sidecar(options, log, onFailure);
-        try {
-            sidecar.startParts(config);
-            return sidecar;
-        } catch (InterruptedException e) {
-            throw new IOException("interrupted while starting", e);
-        }
+        sidecar.createParts(config);
+        return sidecar;
     }
 
-    private void startParts(SiteConfig config) throws IOException, InterruptedException {
+    private void createParts(SiteConfig config) {
         loop.submit(() -> {
                     configuration = new CurrentConfiguration(config);
                     parts = new SidecarParts(loop, configuration, options.sharedFolder(), options.maxListWaitMs(), log);
                 })
                 .syncUninterruptibly();
+        startConfig = config;
+    }
+
+    /**
+     * Waits for the endpoint list, listens and warms up; returns once the sidecar serves, or once it was stopped.
+     *
+     * @throws IOException if an address cannot be bound
+     */
+    public void serve() throws IOException {
+        try {
+            startParts(startConfig);
+        } catch (InterruptedException e) {
+            throw new IOException("interrupted while starting", e);
+        }
+    }
+
+    private void startParts(SiteConfig config) throws IOException, InterruptedException {
         if (config.admin() != null) {
             adminAddress = bind(() -> parts.adminServer.listen(config.admin()), config.admin());
         }
@@ -114,32 +153,67 @@
         } else {
             startWithAgent(config);
         }
+        if (phase.get() == Phase.STOPPED) {
+            return;
+        }
         log.println("martenlatch: serving on " + address);
         // Deferred until the sidecar serves: on a fraction of a core it would otherwise make clients wait.
         ConfigurationReloader.warmUp(options.configFile(), config);
     }
 
     /**
-     * Starts with a local discovery agent, which pushes endpoint lists. Changes known to the agent already count as
-     * notified, and it responds at once, so its list is awaited first. If another process serves the same address,
-     * clients are distributed over both processes, so this one warms up before it listens. Without another process it
-     * listens first: a client accepted early waits briefly, while a rejected one would not be served at all.
+     * Starts with a local discovery agent, which pushes endpoint lists and responds at once, so its list is awaited
+     * first. Without another process at the same address this one then listens before it warms up: a client accepted
+     * early waits briefly, while a rejected one would not be served at all. If the agent does not respond, the time is
+     * used to warm up, so that clients are served once it does; until then their requests are held back.
+     *
+     * <p>If another process serves the same address, clients are distributed over both processes, so this one warms up
+     * and does not listen while only the other one may forward requests.
      */
     private void startWithAgent(SiteConfig config) throws IOException, InterruptedException {
         boolean hasPredecessor = parts.adminOperations.isAnotherProcessServing();
-        awaitEndpointList();
-        if (hasPredecessor) {
-            warmUp(config);
-            listen(config);
-        } else {
+        if (!hasPredecessor && hasEndpointListWithin(PROMPT_AGENT_MS)) {
             listen(config);
             warmUp(config);
+            return;
+        }
+        warmUp(config);
+        EndpointListGate.Reason reason = parts.endpointListReady.join();
+        if (reason != EndpointListGate.Reason.LIST_CURRENT) {
+            log.println("martenlatch: no endpoint list from the agent: " + reason);
+        }
+        awaitForwardingBesidePredecessor();
+        listen(config);
+    }
+
+    /** Waits, for a bounded time, while this process may not forward requests and another one serves in its place. */
+    private void awaitForwardingBesidePredecessor() throws InterruptedException {
+        long startedNanos = System.nanoTime();
+        while (elapsedMs(startedNanos) < MAX_PREDECESSOR_WAIT_MS
+                && !mayForward()
+                && parts.adminOperations.isAnotherProcessServing()) {
+            Thread.sleep(PREDECESSOR_CHECK_INTERVAL_MS);
         }
     }
 
+    private boolean hasEndpointListWithin(int timeoutMs) throws InterruptedException {
+        try {
+            parts.endpointListReady.get(timeoutMs, TimeUnit.MILLISECONDS);
+            return true;
+        } catch (TimeoutException e) {
+            return false;
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private boolean mayForward() {
+        return loop.submit(() -> parts.mayForward()).syncUninterruptibly().getNow();
+    }
+
     /**
-     * Waits for a current endpoint list. Changes made before this start soon count as notified, so clients must not be
-     * served from a list that may be outdated.
+     * Waits for a current endpoint list if lists are polled. Changes made before this start soon count as notified, so
+     * clients should not be served from a list that may be outdated.
      */
     private void awaitEndpointList() {
         EndpointListGate.Reason reason = parts.endpointListReady.join();
@@ -159,6 +233,9 @@
     }
 
     private void listen(SiteConfig config) throws IOException, InterruptedException {
+        if (!phase.compareAndSet(Phase.STARTING, Phase.LISTENING)) {
+            return;
+        }
         // Must precede listening: a process that sees this one ready must also find its marker in the shared folder.
         parts.adminOperations.announceServing();
         address = bind(() -> parts.frontend.listen(config.listen()), config.listen());
@@ -199,6 +276,16 @@
         loop.execute(() -> new ConfigurationReloader(options.configFile(), configuration, parts, log).reload());
     }
 
+    /** Stops a sidecar that does not listen yet, and never will; returns false if it already does. */
+    public boolean stopBeforeListening() {
+        if (!phase.compareAndSet(Phase.STARTING, Phase.STOPPED)) {
+            return false;
+        }
+        log.println("martenlatch: stopped before it listened");
+        stop();
+        return true;
+    }
+
     /** Answers all requests that are in flight or still arrive, then stops the sidecar; blocks until that is done. */
     public void drain() {
         new GracefulShutdown(loop, parts, configuration.maxDeadlineMs(), log).run();
--- a/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
+++ b/sidecar/src/main/java/martenlatch/sidecar/SidecarParts.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import martenlatch.admin.AdminOperations;
 import martenlatch.admin.AdminServer;
+import martenlatch.admin.EndpointListState;
 import martenlatch.admin.SharedIdTable;
 import martenlatch.discovery.DiscoveryClient;
 import martenlatch.discovery.EndpointListGate;
@@ -17,6 +18,7 @@
 import martenlatch.net.EventLoopScheduler;
 import martenlatch.net.MemoryBudget;
 import martenlatch.policy.ConfirmationSchedule;
+import martenlatch.policy.EndpointListAge;
 import martenlatch.policy.api.PollFailure;
 import martenlatch.request.EndpointList;
 import martenlatch.request.ExecutionHistory;
@@ -40,7 +42,7 @@
     final AdminOperations adminOperations;
     final AdminServer adminServer;
     final Frontend frontend;
-    /** Completes when clients may be served from the endpoint list, with the reason. */
+    /** Completes when the wait for the endpoint list ends, with the reason. */
     final CompletableFuture<EndpointListGate.Reason> endpointListReady = new CompletableFuture<>();
 
     private final EventLoop loop;
@@ -82,6 +84,7 @@
                 logger,
                 new ConfirmationSchedule(
                         config.settings().balancerCount(), new SplittableRandom(config.seed()).split()),
+                new EndpointListAge(config.settings()),
                 () -> PollTiming.next(configuration.get().settings(), random));
         requestTracker = new RequestTracker(
                 scheduler,
@@ -112,6 +115,11 @@
         return gossip.listen(addresses.listen());
     }
 
+    /** Returns whether requests may be forwarded by the endpoint list in use. */
+    boolean mayForward() {
+        return discovery.listAge().mayForward(scheduler.now());
+    }
+
     void startGossip() {
         gossip.start();
     }
@@ -128,7 +136,7 @@
         // The tracker may answer requests at once, which reads more of them: they must be parsed for these settings.
         frontend.applySettings(next.settings());
         requestTracker.applySettings(next.settings());
-        discovery.moveTo(next.discovery());
+        discovery.moveTo(next.discovery(), next.settings());
     }
 
     /** Replaces the addresses of the other sidecars; throws an exception if their number differs from before. */
@@ -175,6 +183,16 @@
             return gossip == null ? null : gossip.json();
         }
 
+        @Override
+        public EndpointListState endpointListState() {
+            return EndpointListState.of(discovery.listAge(), scheduler.now());
+        }
+
+        @Override
+        public void trustEndpointList() {
+            discovery.trustList();
+        }
+
         @Override
         public void disableEndpoints(Set<String> endpointIds) {
             requestTracker.disableEndpoints(endpointIds);
@@ -203,5 +221,10 @@
         public void onDiscoveryMoved(double listAgeMs) {
             requestTracker.onDiscoveryMoved(listAgeMs);
         }
+
+        @Override
+        public void onForwardingChanged(boolean allowed) {
+            requestTracker.onForwardingChanged(allowed);
+        }
     }
 }
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointPool.java
@@ -114,6 +114,11 @@
         endpoints.setDisabled(endpointIds);
     }
 
+    @Override
+    public void setForwardingAllowed(boolean allowed) {
+        endpoints.setForwardingAllowed(allowed);
+    }
+
     @Override
     public void withdrawAttempts() {
         endpoints.withdrawQueuedAttempts();
--- a/sidecar/src/main/java/martenlatch/upstream/EndpointTable.java
+++ b/sidecar/src/main/java/martenlatch/upstream/EndpointTable.java
@@ -20,6 +20,8 @@
     private final List<EndpointAttempt> attemptsToWithdraw = new ArrayList<>();
     /** The ids of the endpoints that operators have disabled. */
     private Set<String> disabled = Set.of();
+    /** Whether anything new may be written to any endpoint. */
+    private boolean forwardingAllowed = true;
 
     /** Returns the endpoint with this id, or null. */
     PooledEndpoint find(String id) {
@@ -69,6 +71,7 @@
         endpoint.startedMs = startedMs;
         claimAddress(endpoint);
         endpoint.ready = entry.endpoint().status() == EndpointStatus.READY;
+        endpoint.suspended = !forwardingAllowed;
         setDisabled(endpoint, disabled.contains(entry.endpoint().id()));
     }
 
@@ -78,6 +81,17 @@
         endpoints.forEach((id, endpoint) -> setDisabled(endpoint, disabled.contains(id)));
     }
 
+    /** Sets whether anything new may be written to any endpoint. */
+    void setForwardingAllowed(boolean allowed) {
+        forwardingAllowed = allowed;
+        for (PooledEndpoint endpoint : endpoints.values()) {
+            endpoint.suspended = !allowed;
+            if (!allowed) {
+                queueAttemptsForWithdrawal(endpoint);
+            }
+        }
+    }
+
     private void setDisabled(PooledEndpoint endpoint, boolean isDisabled) {
         endpoint.disabled = isDisabled;
         if (!endpoint.ready || isDisabled) {
--- a/sidecar/src/main/java/martenlatch/upstream/PooledEndpoint.java
+++ b/sidecar/src/main/java/martenlatch/upstream/PooledEndpoint.java
@@ -26,10 +26,12 @@
     boolean ready;
     /** Whether operators have disabled the endpoint. */
     boolean disabled;
+    /** Whether nothing new may be written to any endpoint. */
+    boolean suspended;
 
     /** Returns whether the first byte of an attempt may be written to a connection of this generation now. */
     boolean acceptsAttempts(int connectionGeneration) {
-        return ready && !disabled && connectionGeneration == generation;
+        return ready && !disabled && !suspended && connectionGeneration == generation;
     }
 
     void closeIdleConnections() {
