External processor: reject at once while the endpoint list is not confirmed

Change: the host says whether a request may wait (EndpointConnections.mayDelayDecisions); the balancer is told FORWARD, HOLD or REJECT. A processor rejects (503) at once, and offered attempts get no destination.

--- a/extproc/src/main/java/martenlatch/frontend/extproc/EndpointAddresses.java
+++ b/extproc/src/main/java/martenlatch/frontend/extproc/EndpointAddresses.java
@@ -13,6 +13,7 @@
 public final class EndpointAddresses implements EndpointConnections {
 
     private final Map<String, EndpointDestination> readyDestinations = new HashMap<>();
+    private boolean forwardingAllowed = true;
 
     @Override
     public void update(EndpointList list) {
@@ -37,7 +38,18 @@
 
     /** Returns the destination of an endpoint, or null if it accepts no new requests. */
     EndpointDestination find(String endpointId) {
-        return readyDestinations.get(endpointId);
+        return forwardingAllowed ? readyDestinations.get(endpointId) : null;
+    }
+
+    @Override
+    public void setForwardingAllowed(boolean allowed) {
+        forwardingAllowed = allowed;
+    }
+
+    /** The proxies wait for each decision, and not for long. */
+    @Override
+    public boolean mayDelayDecisions() {
+        return false;
     }
 
     @Override
--- a/sidecar/src/main/java/martenlatch/policy/LoadBalancer.java
+++ b/sidecar/src/main/java/martenlatch/policy/LoadBalancer.java
@@ -43,7 +43,7 @@
     private final Map<String, LatencyEstimator> latencies = new HashMap<>(); // by class name
 
     private final HeldRequests held = new HeldRequests();
-    private boolean forwardingAllowed = true;
+    private ForwardingMode forwarding = ForwardingMode.FORWARD;
     private double nextRefillMs;
 
     /** Creates a load balancer without endpoints; the same seed gives the same random choices. */
@@ -98,10 +98,10 @@
         pendingRequests.put(request.id(), pending);
         locality.recordDemand(latency.baseMs());
         retries.onRequest();
-        if (forwardingAllowed) {
-            admit(nowMs, pending);
-        } else {
-            actions.scheduleTimer(held.add(nowMs, pending), HELD_TIMER);
+        switch (forwarding) {
+            case HOLD -> actions.scheduleTimer(held.add(nowMs, pending), HELD_TIMER);
+            case REJECT -> rejectOrFail(pending);
+            default -> admit(nowMs, pending);
         }
     }
 
@@ -113,7 +113,7 @@
 
     /** Sends the request's next attempt; returns false if none may be sent or no slot is available. */
     private boolean forward(double nowMs, PendingRequest pending) {
-        Slot slot = forwardingAllowed ? selector.select(nowMs, pending) : null;
+        Slot slot = forwarding == ForwardingMode.FORWARD ? selector.select(nowMs, pending) : null;
         if (slot == null) {
             return false;
         }
@@ -299,10 +299,10 @@
     }
 
     @Override
-    public void onForwardingChanged(double nowMs, boolean allowed) {
+    public void onForwardingChanged(double nowMs, ForwardingMode mode) {
         refillIfDue(nowMs);
-        forwardingAllowed = allowed;
-        if (allowed) {
+        forwarding = mode;
+        if (mode == ForwardingMode.FORWARD) {
             held.takeAll().forEach(pending -> admit(nowMs, pending));
         }
     }
--- a/sidecar/src/main/java/martenlatch/policy/api/BalancerEvents.java
+++ b/sidecar/src/main/java/martenlatch/policy/api/BalancerEvents.java
@@ -38,9 +38,9 @@
 
     /**
      * Called when requests may no longer be forwarded, because the endpoint list may lack changes that count as
-     * notified, and when they may again. At first they may. Attempts in flight go on.
+     * notified, and when they may again. At first they are. Attempts in flight go on.
      */
-    void onForwardingChanged(double nowMs, boolean allowed);
+    void onForwardingChanged(double nowMs, ForwardingMode mode);
 
     /**
      * Called when operators have changed the set of disabled endpoints. Each endpoint in the set counts as draining,
--- a/sidecar/src/main/java/martenlatch/request/EndpointConnections.java
+++ b/sidecar/src/main/java/martenlatch/request/EndpointConnections.java
@@ -14,12 +14,14 @@
      */
     default void setDisabled(Set<String> endpointIds) {}
 
-    /**
-     * Sets whether anything new may be written to any endpoint. Called before the load balancer is notified of it. Does
-     * nothing where others own the connections.
-     */
+    /** Sets whether anything new may be sent to any endpoint. Called before the load balancer is notified of it. */
     default void setForwardingAllowed(boolean allowed) {}
 
+    /** Returns whether a request may wait for its first attempt; false where others wait for the decision. */
+    default boolean mayDelayDecisions() {
+        return true;
+    }
+
     /**
      * Ends attempts as {@code NOT_EXECUTED} that still wait for a connection to an endpoint which accepts no new
      * requests or was replaced by another process. Called after the load balancer was notified of the list.
--- a/sidecar/src/main/java/martenlatch/request/RequestTracker.java
+++ b/sidecar/src/main/java/martenlatch/request/RequestTracker.java
@@ -12,6 +12,7 @@
 import martenlatch.policy.api.BalancerEvents;
 import martenlatch.policy.api.BalancerSettings;
 import martenlatch.policy.api.EndpointListKind;
+import martenlatch.policy.api.ForwardingMode;
 import martenlatch.policy.api.LoadReport;
 import martenlatch.policy.api.OverloadReport;
 import martenlatch.policy.api.PollFailure;
@@ -460,8 +461,10 @@
 
     @Override
     public void onForwardingChanged(boolean allowed) {
+        ForwardingMode suspended = connections.mayDelayDecisions() ? ForwardingMode.HOLD : ForwardingMode.REJECT;
+        ForwardingMode mode = allowed ? ForwardingMode.FORWARD : suspended;
         connections.setForwardingAllowed(allowed);
-        events.enqueue(now -> balancer.onForwardingChanged(now, allowed));
+        events.enqueue(now -> balancer.onForwardingChanged(now, mode));
         connections.withdrawAttempts();
     }
 
--- a/sidecar/src/test/java/martenlatch/policy/HeldRequestsTest.java
+++ b/sidecar/src/test/java/martenlatch/policy/HeldRequestsTest.java
@@ -7,6 +7,7 @@
 import martenlatch.policy.api.AttemptOutcome;
 import martenlatch.policy.api.Endpoint;
 import martenlatch.policy.api.EndpointStatus;
+import martenlatch.policy.api.ForwardingMode;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -22,7 +23,7 @@
     @BeforeEach
     void startWithoutForwarding() {
         fixture = BalancerFixture.of(2, 0, 0).list(BalancerFixture.endpoints(4));
-        fixture.balancer.onForwardingChanged(fixture.nowMs, false);
+        fixture.balancer.onForwardingChanged(fixture.nowMs, ForwardingMode.HOLD);
     }
 
     private double lastTimerMs() {
@@ -34,7 +35,7 @@
         List<String> ids = List.of(fixture.request(0), fixture.request(0), fixture.request(1));
         assertEquals(List.of(), fixture.actions.sent);
         fixture.nowMs += 100;
-        fixture.balancer.onForwardingChanged(fixture.nowMs, true);
+        fixture.balancer.onForwardingChanged(fixture.nowMs, ForwardingMode.FORWARD);
         assertEquals(
                 ids,
                 fixture.actions.sent.stream()
@@ -52,7 +53,7 @@
         fixture.balancer.onTimer(fixture.nowMs, HELD_TIMER);
         assertEquals(List.of(id), fixture.actions.rejected);
         assertEquals(0, fixture.balancer.pendingRequests());
-        fixture.balancer.onForwardingChanged(fixture.nowMs, true);
+        fixture.balancer.onForwardingChanged(fixture.nowMs, ForwardingMode.FORWARD);
         assertEquals(List.of(), fixture.actions.sent, "it has its final answer");
     }
 
@@ -65,7 +66,7 @@
         fixture.nowMs += firstWaitsMs / 2;
         fixture.balancer.onTimer(fixture.nowMs, HELD_TIMER);
         assertEquals(List.of(first), fixture.actions.rejected);
-        fixture.balancer.onForwardingChanged(fixture.nowMs, true);
+        fixture.balancer.onForwardingChanged(fixture.nowMs, ForwardingMode.FORWARD);
         assertEquals(second, fixture.actions.last().requestId());
     }
 
@@ -74,7 +75,7 @@
     void requestOfDisconnectedClientIsDropped() {
         String id = fixture.request(0);
         fixture.balancer.onClientDisconnected(fixture.nowMs, id);
-        fixture.balancer.onForwardingChanged(fixture.nowMs, true);
+        fixture.balancer.onForwardingChanged(fixture.nowMs, ForwardingMode.FORWARD);
         assertEquals(List.of(), fixture.actions.sent);
         assertEquals(0, fixture.balancer.pendingRequests());
     }
@@ -86,7 +87,7 @@
         for (Endpoint endpoint : BalancerFixture.endpoints(4)) {
             fixture.change(endpoint.withStatus(EndpointStatus.DRAINING));
         }
-        fixture.balancer.onForwardingChanged(fixture.nowMs, true);
+        fixture.balancer.onForwardingChanged(fixture.nowMs, ForwardingMode.FORWARD);
         assertEquals(List.of(), fixture.actions.sent);
         assertEquals(List.of(id), fixture.actions.rejected);
     }
@@ -94,16 +95,25 @@
     /** Guards against a retry by a list that may lack changes; the request is answered at once instead. */
     @Test
     void attemptThatFailsIsNotRetried() {
-        fixture.balancer.onForwardingChanged(fixture.nowMs, true);
+        fixture.balancer.onForwardingChanged(fixture.nowMs, ForwardingMode.FORWARD);
         String rejected = fixture.request(BalancerFixture.IDEMPOTENT);
         RecordingActions.SentAttempt first = fixture.actions.last();
         String failed = fixture.request(BalancerFixture.NON_IDEMPOTENT);
         RecordingActions.SentAttempt second = fixture.actions.last();
-        fixture.balancer.onForwardingChanged(fixture.nowMs, false);
+        fixture.balancer.onForwardingChanged(fixture.nowMs, ForwardingMode.HOLD);
         fixture.finish(first, AttemptOutcome.CONNECT_ERROR, 1);
         fixture.finish(second, AttemptOutcome.RESET, 1);
         assertEquals(2, fixture.actions.sent.size());
         assertEquals(List.of(rejected), fixture.actions.rejected);
         assertEquals(List.of(failed), fixture.actions.failed, "it may have been executed");
     }
+
+    /** A host that needs a decision at once has none of its requests held. */
+    @Test
+    void requestIsRejectedAtOnceIfItMayNotWait() {
+        fixture.balancer.onForwardingChanged(fixture.nowMs, ForwardingMode.REJECT);
+        String id = fixture.request(0);
+        assertEquals(List.of(id), fixture.actions.rejected);
+        assertEquals(0, fixture.balancer.pendingRequests());
+    }
 }
