--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
@@ -220,13 +220,16 @@
         listener.onResponseBytes();
     }
 
-    /** The response to an open watch may tell a change; one to a poll without a wait comes in any case. */
+    /**
+     * The response to a poll from the version in use may tell a change. While there is a doubt already, a response to a
+     * poll without a wait adds none: it comes whether or not there is a change.
+     */
     private void onResponseStarted(OutstandingPoll responding) {
         Poll poll = responding.poll();
-        boolean isOpenWatch = poll.isWatch() && !poll.timing().isWithoutWait();
-        boolean isCurrent = responding.addressNumber() == addressNumber
+        boolean isFromCurrentVersion = responding.addressNumber() == addressNumber
                 && poll.knownVersion().equals(knownVersion);
-        if (isOpenWatch && isCurrent) {
+        boolean isAnsweredInAnyCase = poll.timing().isWithoutWait() && age.doubt() != null;
+        if (isFromCurrentVersion && poll.isWatch() && !isAnsweredInAnyCase) {
             forwarding.onResponseStarted();
         }
     }
--- a/sidecar/src/test/java/martenlatch/sidecar/UnconfirmedEndpointListTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/UnconfirmedEndpointListTest.java
@@ -144,6 +144,43 @@
         assertNoneArrivedAfterGrace(notifiedNanos);
     }
 
+    /**
+     * Guards against a change that the agent begins to tell after a silence, and does not tell completely. The silence
+     * before it raises no doubt, and the polls in it are answered whether or not there is a change.
+     */
+    @ParameterizedTest
+    @EnumSource(
+            value = Conduct.class,
+            names = {"STOPS_AFTER_HEAD", "STOPS_IN_LIST", "TRICKLES"})
+    void changeThatIsToldInPartAfterASilenceEndsForwarding(Conduct afterSilence) throws Exception {
+        agent.setList(1, entry(0, "in_service"), entry(1, "in_service"));
+        agent.behave(Conduct.SOUND);
+        fixture.start();
+        agent.behave(Conduct.SILENT);
+        SidecarFixture.await("a poll without a wait", () -> fixture.logged().contains("wait 1 ms"));
+        assertEquals(200, statusOf("read", LONG_DEADLINE_MS));
+        long notifiedNanos = System.nanoTime();
+        drainFirstAt(agent);
+        agent.behave(afterSilence);
+        sendUntil(notifiedNanos + TimeUnit.MILLISECONDS.toNanos(3 * DRAIN_GRACE_MS));
+        assertEquals(503, statusOf("read", SHORT_DEADLINE_MS));
+        agent.behave(Conduct.SOUND);
+        assertEquals(200, statusOf("read", LONG_DEADLINE_MS), fixture.logged());
+        assertNoneArrivedAfterGrace(notifiedNanos);
+    }
+
+    /** Requests that are held back when a shutdown begins get their final answers before the process ends. */
+    @Test
+    void requestsThatAreHeldBackAreAnsweredInADrain() throws Exception {
+        agent.behave(Conduct.SILENT);
+        fixture.start();
+        CompletableFuture<Integer> waiting = CompletableFuture.supplyAsync(() -> statusOf("order", LONG_DEADLINE_MS));
+        fixture.awaitPending(1);
+        fixture.sidecar.drain();
+        assertTrue(waiting.get(LONG_DEADLINE_MS, TimeUnit.MILLISECONDS) >= 500, fixture.logged());
+        assertTrue(fixture.logged().contains("martenlatch: drained"), fixture.logged());
+    }
+
     /** Guards against an outage that ends service in processes that were told everything before it began. */
     @Test
     void agentThatFallsSilentDoesNotEndForwarding() throws Exception {
