--- a/sidecar/src/main/java/martenlatch/policy/EndpointListAge.java
+++ b/sidecar/src/main/java/martenlatch/policy/EndpointListAge.java
@@ -99,12 +99,18 @@
 
     /** Called when a poll has failed, so that there was no open watch for a moment. */
     public void onWatchBroken(double nowMs) {
-        raise(Doubt.WATCH_BROKEN, nowMs, nowMs + recoveryMs());
+        raiseWatchBroken(nowMs);
     }
 
     /** Called with the first bytes of the response to an open watch; the doubt ends with a whole response. */
     public void onResponseStarted(double nowMs) {
-        raise(Doubt.WATCH_BROKEN, nowMs, nowMs + recoveryMs());
+        raiseWatchBroken(nowMs);
+    }
+
+    /** After a move the changes of the new agent count as notified at a time of their own, whatever it responds. */
+    private void raiseWatchBroken(double nowMs) {
+        boolean isMoved = doubt == Doubt.MOVED;
+        raise(Doubt.WATCH_BROKEN, nowMs, isMoved ? forwardUntilMs : nowMs + recoveryMs());
     }
 
     private double recoveryMs() {
