--- a/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
+++ b/sidecar/src/main/java/martenlatch/discovery/EndpointListWatcher.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
@@ -32,15 +30,9 @@
  */
 public final class EndpointListWatcher {
 
-    /** The maximum number of polls beside the current one; beyond it the oldest poll is aborted. */
-    private static final int MAX_SUPERSEDED_POLLS = 2;
-
     /** The time of a slow response doubles at most this often. */
     private static final int MAX_RESPONSE_TIME_DOUBLINGS = 4;
 
-    /** The age up to which a poll at a previous address defers the next one: by then discovery has answered it. */
-    private static final double MAX_DEFERRAL_MS = 2000;
-
     private final Scheduler scheduler;
     private final DiscoveryTransport transport;
     private final RateLimitedLogger logger;
@@ -65,7 +57,7 @@
     /** The poll at the current address, or null if there is none. */
     private OutstandingPoll outstanding;
     /** The polls that continue at previous addresses or in the background, oldest first. */
-    private final Deque<OutstandingPoll> superseded = new ArrayDeque<>();
+    private final SupersededPolls superseded;
     /** Whether {@link #start} was deferred until the polls at previous addresses that end soon have ended. */
     private boolean startDeferred;
     /**
@@ -94,6 +86,7 @@
         pollLog = new PollLog(scheduler, logger);
         this.timing = timing;
         this.age = age;
+        superseded = new SupersededPolls(transport);
         forwarding = new ForwardingMonitor(scheduler, logger, age);
         confirmations = new ConfirmationPolls(scheduler, transport, pollLog, schedule, this::nextConfirmation);
     }
@@ -131,7 +124,7 @@
         }
         startDeferred = !age.isPushed() && isResponseDueFromPreviousAddress();
         if (startDeferred) {
-            scheduler.after(remainingDeferralMs(), this::startIfDeferred);
+            scheduler.after(superseded.remainingDeferralMs(addressNumber), this::startIfDeferred);
             return;
         }
         lastPollNumber++;
@@ -188,12 +181,9 @@
         slowResponses = 0;
         transport.useNewConnection(outstanding == null ? null : outstanding.poll());
         if (outstanding != null) {
-            superseded.addLast(outstanding);
+            superseded.add(outstanding);
             outstanding = null;
         }
-        if (superseded.size() > MAX_SUPERSEDED_POLLS) {
-            endSuperseded(superseded.getFirst());
-        }
         pollLog.onMoved();
         forwarding.onMoved();
         listener.onDiscoveryMoved(age.ageMs(scheduler.now()));
@@ -340,12 +330,11 @@
 
     /** Ends a poll that was answered and all earlier ones. */
     private void endUpTo(OutstandingPoll answered) {
-        boolean isLatest = answered == outstanding;
-        if (isLatest) {
+        if (answered == outstanding) {
             endOutstanding();
-        }
-        while (isLatest ? !superseded.isEmpty() : superseded.contains(answered)) {
-            endSuperseded(superseded.getFirst());
+            superseded.endAll();
+        } else {
+            superseded.endUpTo(answered);
         }
     }
 
@@ -355,7 +344,7 @@
         slowResponses = 0;
         if (!isOutdated) {
             knownVersion = OptionalLong.of(version);
-            superseded.forEach(later -> later.requireVersion(version));
+            superseded.requireVersion(version);
             confirmations.requireVersion(version);
             if (outstanding != null) {
                 outstanding.requireVersion(version);
@@ -379,7 +368,7 @@
         }
         pollLog.onFailure(poll, cause);
         if (failed != outstanding) {
-            endSuperseded(failed);
+            superseded.end(failed);
             if (startDeferred) {
                 start();
             }
@@ -427,7 +416,7 @@
         }
         if (continues) {
             transport.useNewConnection(timedOut.poll());
-            superseded.addLast(timedOut);
+            superseded.add(timedOut);
             outstanding = null;
         } else {
             pollLog.onFailure(timedOut.number(), detail);
@@ -480,14 +469,9 @@
             return false;
         }
         if (timedOut.hasResponseStarted()) {
-            superseded.stream()
-                    .filter(each -> each.isInBackground() && !each.hasResponseStarted())
-                    .findFirst()
-                    .ifPresent(this::endSuperseded);
-        }
-        boolean isRoom = superseded.contains(timedOut) || superseded.size() < MAX_SUPERSEDED_POLLS;
-        boolean isSlotTaken = superseded.stream().anyMatch(OutstandingPoll::isInBackground);
-        if (!isRoom || isSlotTaken) {
+            superseded.endSilentBackgroundPoll();
+        }
+        if (!superseded.hasBackgroundRoomFor(timedOut)) {
             return false;
         }
         timedOut.moveToBackground();
@@ -500,36 +484,15 @@
         if (outstanding != null && outstanding.number() == number) {
             return outstanding;
         }
-        for (OutstandingPoll each : superseded) {
-            if (each.number() == number) {
-                return each;
-            }
-        }
-        return null;
+        return superseded.find(number);
     }
 
     private boolean isResponseDueFromPreviousAddress() {
-        return remainingDeferralMs() > 0;
-    }
-
-    /** Returns for how long a poll at a previous address that discovery answers at once defers the next one. */
-    private double remainingDeferralMs() {
-        return superseded.stream()
-                .filter(each -> each.addressNumber() != addressNumber && !each.isInBackground())
-                .filter(each -> !each.poll().isWatch() || each.poll().timing().isWithoutWait())
-                .mapToDouble(each -> MAX_DEFERRAL_MS - each.sinceSentMs())
-                .max()
-                .orElse(0);
+        return superseded.remainingDeferralMs(addressNumber) > 0;
     }
 
     private void endOutstanding() {
         outstanding.end();
         outstanding = null;
     }
-
-    private void endSuperseded(OutstandingPoll ended) {
-        ended.end();
-        superseded.remove(ended);
-        transport.endSuperseded(ended.number());
-    }
 }
