--- a/sidecar/src/main/java/martenlatch/policy/EndpointListAge.java
+++ b/sidecar/src/main/java/martenlatch/policy/EndpointListAge.java
@@ -46,10 +46,10 @@
     static final double POLL_DURATION_MS = 2000;
 
     /** The time after a move from which on the changes of the new agent count as notified. */
-    static final double NOTIFIED_AFTER_MOVE_MS = 4000;
+    private static final double NOTIFIED_AFTER_MOVE_MS = 4000;
 
     /** The part of a drain's grace that is kept for attempts that are being written when forwarding ends. */
-    static final double GRACE_RESERVE_MS = 300;
+    private static final double GRACE_RESERVE_MS = 300;
 
     /** The shortest time that the agent has to complete a response or to answer the next poll. */
     private static final double MIN_RECOVERY_MS = 20;
--- a/sidecar/src/test/java/martenlatch/policy/EndpointListAgeTest.java
+++ b/sidecar/src/test/java/martenlatch/policy/EndpointListAgeTest.java
@@ -19,8 +19,12 @@
     private static final double LONG_STEP_MS = 10_000;
 
     private static final double START_MS = 1_000_000;
+    /** The grace of a drain in the settings of the fixture. */
     private static final double DRAIN_GRACE_MS = 1000;
 
+    /** The changes of an agent count as notified this long after SIGHUP. */
+    private static final double NOTIFIED_AFTER_MOVE_MS = 4000;
+
     private enum Event {
         RESPONSE_STARTED,
         CONFIRMED,
@@ -49,7 +53,7 @@
         }
 
         void move(double atMs) {
-            movedDueMs = atMs + EndpointListAge.NOTIFIED_AFTER_MOVE_MS;
+            movedDueMs = atMs + NOTIFIED_AFTER_MOVE_MS;
             add(atMs);
         }
 
@@ -172,8 +176,8 @@
         age.onMoved(START_MS);
         age.onWatchBroken(START_MS + STEP_MS);
         age.onResponseStarted(START_MS + STEP_MS);
-        assertTrue(age.mayForward(START_MS + EndpointListAge.NOTIFIED_AFTER_MOVE_MS - 1));
-        assertFalse(age.mayForward(START_MS + EndpointListAge.NOTIFIED_AFTER_MOVE_MS));
+        assertTrue(age.mayForward(START_MS + NOTIFIED_AFTER_MOVE_MS - 1));
+        assertFalse(age.mayForward(START_MS + NOTIFIED_AFTER_MOVE_MS));
     }
 
     /** Lists that are polled may be used while discovery is down, from the start on and after a move. */
@@ -194,8 +198,8 @@
         age.onSettingsChanged(settings(false));
         age.onMoved(START_MS);
         assertEquals(Doubt.MOVED, age.doubt());
-        assertTrue(age.mayForward(START_MS + EndpointListAge.NOTIFIED_AFTER_MOVE_MS - 1));
-        assertFalse(age.mayForward(START_MS + EndpointListAge.NOTIFIED_AFTER_MOVE_MS));
+        assertTrue(age.mayForward(START_MS + NOTIFIED_AFTER_MOVE_MS - 1));
+        assertFalse(age.mayForward(START_MS + NOTIFIED_AFTER_MOVE_MS));
         age.onSettingsChanged(settings(true));
         assertTrue(age.mayForward(START_MS + LONG_STEP_MS));
     }
