Log held requests at a start only where an agent does not answer; SIGTERM before the sidecar is created

What operators saw: two lines, held back and forwarded again, at each sound start, before any client was there. The first is now written after 1 s without a list. Where SIGTERM came before the sidecar was created, the process still went on to listen; it is now stopped as soon as it is created (found by reading, no test of its own).

--- a/sidecar/src/main/java/martenlatch/cli/Main.java
+++ b/sidecar/src/main/java/martenlatch/cli/Main.java
@@ -103,6 +103,7 @@
             startedSidecar.complete(sidecar);
             return 0;
         } catch (IOException | RuntimeException e) {
+            createdSidecar.completeExceptionally(e);
             startedSidecar.completeExceptionally(e);
             errors.println("martenlatch: "
                     + (e.getMessage() == null
@@ -127,15 +128,15 @@
         if (!stopSignals.received()) {
             haltAfterFailure(errors, "the process ends without a signal, as no thread serves any more");
         }
-        boolean isStopped = createdSidecar.isDone() && createdSidecar.join().stopBeforeListening();
-        if (isStopped) {
-            Runtime.getRuntime().halt(0);
-        }
-        drain(startedSidecar);
+        drain(createdSidecar, startedSidecar);
     }
 
-    private static void drain(CompletableFuture<Sidecar> startedSidecar) {
+    /** Stops a sidecar that does not listen yet at once; one that does is drained when its start has finished. */
+    private static void drain(CompletableFuture<Sidecar> createdSidecar, CompletableFuture<Sidecar> startedSidecar) {
         try {
+            if (createdSidecar.get(START_TIMEOUT_MS, TimeUnit.MILLISECONDS).stopBeforeListening()) {
+                Runtime.getRuntime().halt(0);
+            }
             startedSidecar.get(START_TIMEOUT_MS, TimeUnit.MILLISECONDS).drain();
             // Halting with status 0 after the drain makes a stop by SIGTERM a clean exit.
             Runtime.getRuntime().halt(0);
--- a/sidecar/src/main/java/martenlatch/discovery/ForwardingMonitor.java
+++ b/sidecar/src/main/java/martenlatch/discovery/ForwardingMonitor.java
@@ -12,11 +12,17 @@
  */
 final class ForwardingMonitor {
 
+    /** At the start nothing is logged before this time: a sound agent answers within it, and no client is there yet. */
+    private static final double START_LOG_DELAY_MS = 1000;
+
     private final Scheduler scheduler;
     private final RateLimitedLogger logger;
     private final EndpointListAge age;
     private EndpointList.Listener listener;
     private boolean allowed = true;
+    /** Whether the log says that requests are held back. */
+    private boolean isSuspensionLogged;
+
     private double suspendedAtMs;
     private Scheduler.Timer timer;
 
@@ -67,7 +73,7 @@
         boolean mayForward = age.mayForward(nowMs);
         if (mayForward != allowed) {
             allowed = mayForward;
-            log(nowMs);
+            onChanged(nowMs);
             listener.onForwardingChanged(allowed);
         }
         if (allowed && age.forwardUntilMs() < Double.POSITIVE_INFINITY) {
@@ -75,11 +81,29 @@
         }
     }
 
-    private void log(double nowMs) {
+    private void onChanged(double nowMs) {
+        if (allowed) {
+            logResumption(nowMs);
+            return;
+        }
+        suspendedAtMs = nowMs;
+        if (age.doubt() == EndpointListAge.Doubt.NEVER_CONFIRMED) {
+            scheduler.after(START_LOG_DELAY_MS, this::logSuspension);
+        } else {
+            logSuspension();
+        }
+    }
+
+    private void logSuspension() {
         if (!allowed) {
-            suspendedAtMs = nowMs;
+            isSuspensionLogged = true;
             logger.log("requests are held back", age.doubt().description());
-        } else {
+        }
+    }
+
+    private void logResumption(double nowMs) {
+        if (isSuspensionLogged) {
+            isSuspensionLogged = false;
             String reason = age.isTrusted() ? "an operator trusts the endpoint list" : "the endpoint list is confirmed";
             logger.log("requests are forwarded again", reason + " after " + Math.round(nowMs - suspendedAtMs) + " ms");
         }
--- a/sidecar/src/test/java/martenlatch/sidecar/UnconfirmedEndpointListTest.java
+++ b/sidecar/src/test/java/martenlatch/sidecar/UnconfirmedEndpointListTest.java
@@ -1,6 +1,7 @@
 package martenlatch.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -89,6 +90,8 @@
         assertEquals(200, fixture.sendRequest("read", LONG_DEADLINE_MS).status());
         assertEquals(List.of(), draining.requests, fixture.logged());
         assertEquals(2, other.requests.size());
+        assertTrue(fixture.logged().contains("requests are held back: the agent has not answered since the start"));
+        assertTrue(fixture.logged().contains("requests are forwarded again: the endpoint list is confirmed"));
     }
 
     /**
@@ -182,6 +185,7 @@
         while (SidecarFixture.elapsedMs(outageNanos) < NOTIFIED_AFTER_MOVE_MS + 2 * DRAIN_GRACE_MS) {
             assertEquals(200, statusOf("read", LONG_DEADLINE_MS), fixture.logged());
         }
+        assertFalse(fixture.logged().contains("held back"), fixture.logged());
     }
 
     /** Guards against an attempt that waits for its connection and is written after forwarding has ended. */
